--- /dev/null
+++ b/overload/overload.go
@@ -0,0 +1,1006 @@
+package overload
+
+// How it is called: New makes the controller of one server, Handle takes what has happened since the last
+// call and returns what is to be done. Events and actions are in types.go, the design in docs/design.md.
+// The design (search backpressure with a companion cap) decides the ordinary path: onTick, observe, adapt.
+//
+// Beside the design:
+//  1. lines: each handler has a line, lines take turns by weight; what can't make its target is shed at once
+//  2. advice: when to come back, whether to try elsewhere, and the signal in each of its meanings
+//  3. watch: nothing passes its due time, and nothing that can't earn any more keeps cores busy
+//  4. keys: uniqued reqs are remembered, repeats answered from their forerunner
+//  5. calls: those in hand are bounded, timed out, repeated only after proof that they never ran
+//  6. leaving, cold start and stuck work: health, and the crowd and memory that the server survives
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+const (
+	// The design's values.
+	tick          = 100 * time.Millisecond // between observations; the design's
+	breaches      = 3                      // ticks in a row over a threshold before duress; the design's
+	busyLimit     = 0.9                    // busy share of the cores that counts as a breach; the design's
+	memLimit      = 0.7                    // share of memory held by reqs that counts as a breach; the design's
+	memEach       = 0.005                  // share of memory from which one req is heavy; the design's
+	memAll        = 0.05                   // share that all running reqs hold before memory counts; the design's
+	memOver       = 2.0                    // times the average of completed reqs; the design's
+	memWindow     = 100                    // completed reqs in that average; the design's
+	dropRatio     = 0.1                    // drops for each done req; the design's
+	dropRate      = 0.003                  // drops for each millisecond; the design's
+	dropBurst     = 10.0                   // drops in a tick, and what either budget can save; the design's
+	elapsedShare  = 0.4                    // of the client timeout: about where response targets stand
+	cpuShare      = 0.2                    // of the client timeout: half of elapsed, as in the source
+	capGrow       = 0.25                   // part of the cap added a tick while cores are free: x10 in a second
+	capSmooth     = 0.1                    // weight of one tick's latency ratio: a second to follow a change
+	capTolerance  = 1.5                    // recent over base latency that is still no reason to shrink
+	baseForget    = 1.0005                 // growth of base latency a tick: 30% a minute, outlives a trouble
+	minSamples    = 4                      // runs in the window before a latency is believed
+	bucket        = 500 * time.Millisecond // width of a bucket; ten make the window of 5 s
+	finishBy      = 0.85                   // share of the target at which work admitted should be done
+	overShare     = 0.4                    // the same share for a customer over its share
+	stillFinish   = 0.6                    // part of the expected time a lucky run takes: below it is hopeless
+	startHold     = 4.0                    // held reqs a core before any run has been timed
+	shareSlack    = 1.25                   // customers' shares are for the fleet; so much spread is normal
+	shareBurst    = 2.0                    // seconds of a customer's share that may come at once
+	memSafe       = 0.92                   // of memory that running may fill; the rest is for reqs being read
+	memHold       = 0.96                   // of memory past which newcomers are shed
+	crowdSafe     = 0.85                   // of the crowd on the cores that the server survives
+	callSafe      = 0.9                    // of this server's share of the calls that the dependency survives
+	callSlow      = 2.0                    // recent over base latency of calls from which fewer are made
+	callStart     = 2.0                    // calls in hand a core to start with, where no share is told
+	callTries     = 4                      // tries of one call, proved never-run each time
+	callPause     = 60 * time.Millisecond  // before the next try, times the tries so far
+	callFailing   = 0.2                    // share of failed calls from which fewer are made
+	stuckAfter    = 2 * time.Second        // no progress of running work for this long: it hangs
+	stopAgain     = 500 * time.Millisecond // a stop without effect is asked for again
+	minRetryAfter = 100 * time.Millisecond // less is no advice
+	signalDown    = 0.9                    // factor a tick on the wanted load while it is too much
+	signalUp      = 1.03                   // factor a tick when it is not
+	signalMin     = 0.02                   // some load must come, or recovery is not seen
+	signalStep    = 0.05                   // relative change below which the signal stays as it is
+	pressed       = 0.6                    // share of the time allowed for waiting from which load is too much
+	valueTilt     = 0.5                    // exponent of value in a line's weight: 0 none, 1 full
+	slowSelf      = 0.6                    // base over recent latency below which the trouble is its own
+	bearable      = 10 * time.Second       // client timeout where none is told
+	lapseFor      = 2 * time.Second        // a never-run forerunner is known this long: longer than any batch
+)
+
+type place uint8
+
+const (
+	held place = iota
+	joined
+	running
+	waiting // at a call not yet made
+	calling
+	over
+	places
+)
+
+type answer uint8
+
+const (
+	none answer = iota
+	shed
+	errored
+)
+
+type req struct {
+	id                   uint64
+	h                    *handler
+	arrived, due, target time.Duration
+	size                 float64
+	crossed              bool // over its customer's share
+	fore                 *req // what it repeats
+	owed                 int  // repeats that wait for this one
+
+	at, want              place // present and wanted place
+	out, wantOut          answer
+	key, wantKey          time.Duration // remembered until
+	ran, touched          bool
+	started, callTime     time.Duration
+	calledAt, callAgain   time.Duration
+	stopSent              time.Duration
+	cpu                   time.Duration
+	tries                 int
+	callFor, retryAfter   time.Duration
+	dontRetry, gone, quit bool
+}
+
+type handler struct {
+	timeout, target, window time.Duration
+	value, late, skip       float64
+	uniqued, once           bool
+	line                    [2][]*req // within and over the customer's share
+	held                    int
+	pass                    float64
+	own, whole, came        ring // run time without and with calls, arrivals
+	base                    float64
+}
+
+type customer struct {
+	rate, tokens float64
+	filled       time.Duration
+}
+
+// Controller decides for one server.
+type Controller struct {
+	chance    mwc
+	handlers  []*handler
+	customers []*customer
+	reqs      map[uint64]*req
+	all       []*req // in order of arrival
+	touched   []*req
+	waits     []*req // at a call
+	keys      []*req
+	lapsed    map[uint64]time.Duration // repeats of these must run themselves
+	n         [places]int
+	actions   []Action
+
+	cores, memory, runFactor, keySize           float64
+	fall, coldFrom, share                       float64
+	coldFor, grace, linger, callsOver, maxRetry time.Duration
+	started, batch, shareFor                    time.Duration
+	canStop, cold, retryAdvice                  bool
+	below, signal                               string
+	gBusy, gRunnable                            int
+	left, stop                                  time.Duration // the notice, and when the process stops
+	leaving                                     bool
+
+	mem, runMem               float64
+	cap, callCap, turn        float64
+	hot                       int
+	duress                    bool
+	ratioTokens, rateTokens   float64
+	done                      [memWindow]float64
+	doneN                     int
+	busy, runnable            float64
+	progress, lastTick, timer time.Duration
+	stuck, callRefused        bool
+	open, sent                float64
+	health, wantHealth, told  bool
+	sheds                     int
+	unread, call, callBad     ring
+	callBase                  float64
+	inHand                    ring
+	inHandAt                  time.Duration
+}
+
+// New returns the controller of a server that has just come up.
+func New(seed uint64, settings map[string]any, now time.Duration) *Controller {
+	b, rules := get[map[string]any](settings, "backend", nil), get[map[string]any](settings, "rules", nil)
+	c := &Controller{reqs: map[uint64]*req{}, lapsed: map[uint64]time.Duration{}, started: now, progress: now,
+		lastTick: now, timer: now, inHandAt: now, open: 1, wantHealth: true, gBusy: -1, gRunnable: -1}
+	c.chance.seed(seed)
+	c.cores, c.memory = math.Max(1, get(b, "cores", 1.0)), get(b, "memory", math.Inf(1))
+	c.runFactor, c.keySize = math.Max(1, get(b, "run_factor", 1.0)), get(b, "key_size", 0.0)
+	c.canStop = get(b, "halt", "off") != "off"
+	c.below, c.signal = get(b, "below", "off"), get(b, "signal", "off")
+	c.share, c.callsOver = get(b, "calls_share", 0.0), get(b, "calls_over", 5*time.Second)
+	c.linger, c.shareFor = get(b, "linger", time.Duration(0)), get(b, "share_for", time.Duration(0))
+	c.cold = get(b, "cold", false)
+	c.fall, c.coldFrom = get(rules, "fall_multiple", math.Inf(1)), get(rules, "cold_from", 1.0)
+	c.coldFor, c.grace = get(rules, "cold_for", time.Duration(0)), get(rules, "drain_grace", time.Duration(0))
+	c.batch = get(settings, "batch_every", time.Duration(0))
+	limits := get[map[string]any](settings, "limits", nil)
+	c.retryAdvice, c.maxRetry = get(limits, "retry_after", false), get(limits, "max_retry_after", time.Second)
+	for i, g := range get[[]any](b, "gauges", nil) {
+		switch g {
+		case "busy":
+			c.gBusy = i
+		case "runnable":
+			c.gRunnable = i
+		}
+	}
+	skips := get[[]any](b, "handler_skip_value", nil)
+	for i, v := range get[[]any](settings, "handlers", nil) {
+		m, _ := v.(map[string]any)
+		h := &handler{timeout: get(m, "client_timeout", bearable), window: get(m, "window", time.Duration(0)),
+			value: math.Max(0.01, get(m, "value", 1.0)), late: get(m, "late_share", 0.0)}
+		h.target = min(get(m, "response_target", h.timeout), h.timeout)
+		h.uniqued, h.once = get(m, "repeats", "") == "uniqued", get(m, "repeats", "") == "non-replayable"
+		if i < len(skips) {
+			h.skip, _ = skips[i].(float64)
+		}
+		c.handlers = append(c.handlers, h)
+	}
+	servers := math.Max(1, get(settings, "servers", 1.0))
+	for _, v := range get[[]any](settings, "customers", nil) {
+		m, _ := v.(map[string]any)
+		rate := get(m, "quota_per_s", 0.0) / servers * shareSlack
+		c.customers = append(c.customers, &customer{rate: rate, tokens: rate * shareBurst, filled: now})
+	}
+	c.cap, c.callCap = c.cores, c.cores*callStart
+	c.ratioTokens, c.rateTokens = dropBurst, dropBurst
+	return c
+}
+
+// Handle takes the events since the last call and returns the actions that follow.
+func (c *Controller) Handle(now time.Duration, events []Event) []Action {
+	for i := range events {
+		e := &events[i]
+		r := c.reqs[e.ID]
+		switch {
+		case e.Kind == Arrived:
+			c.arrive(now, e)
+		case e.Kind == Timer:
+			c.timer = now // the one that was wanted has come
+			if now-c.lastTick >= tick/2 {
+				c.onTick(now, e.Gauges)
+			}
+		case e.Kind == Leave:
+			c.leave(now, e.Left)
+		case r == nil: // late news of a req already ended
+		case e.Kind == Ended:
+			c.ended(now, r, e)
+		case e.Kind == Gone:
+			c.goneAway(now, r)
+		case e.Kind == NeedsCall:
+			c.progress = now
+			r.calledAt, r.tries, r.callAgain = now, 0, now
+			c.set(now, r, waiting)
+			c.waits = append(c.waits, r)
+			c.touch(r)
+		case e.Kind == CallEnded:
+			c.callEnded(now, r, e)
+		}
+	}
+	c.fillCalls(now)
+	c.fill(now)
+	return c.emit(now)
+}
+
+// ---- the design: observe, duress, drop, adapt ----
+
+func (c *Controller) onTick(now time.Duration, gauges []float64) {
+	span := min(now-c.lastTick, 3*tick) // after a standstill the busy share says nothing of the gap
+	c.lastTick = now
+	c.busy, c.runnable = 0, 0
+	if c.gBusy >= 0 && c.gBusy < len(gauges) {
+		c.busy = gauges[c.gBusy]
+	}
+	if c.gRunnable >= 0 && c.gRunnable < len(gauges) {
+		c.runnable = gauges[c.gRunnable]
+	}
+	onCores := float64(c.n[running])
+	credit := time.Duration(float64(span) * c.busy * c.cores / math.Max(onCores, c.cores))
+	live := c.all[:0]
+	for _, r := range c.all {
+		if r.at == over {
+			continue
+		}
+		live = append(live, r)
+		if r.at == running {
+			r.cpu += credit
+		}
+		c.watch(now, r)
+	}
+	clear(c.all[len(live):])
+	c.all = live
+	c.observe(now, span)
+	c.adapt(now)
+	c.expire(now)
+	// Stuck work (a hang, a machine far too slow): whatever its cause, more reqs would only share its fate.
+	// Harm: work that is rightly longer than this with no step in between sheds its followers.
+	if c.n[running] == 0 {
+		c.progress = max(c.progress, now-tick)
+	}
+	c.stuck = now-c.progress > stuckAfter
+	c.wantHealth = !c.leaving && !c.stuck
+}
+
+func (c *Controller) observe(now, span time.Duration) {
+	if c.busy >= busyLimit || c.mem >= memLimit*c.memory {
+		c.hot++
+		c.duress = c.duress || c.hot >= breaches
+	} else {
+		c.hot, c.duress = 0, false
+	}
+	c.rateTokens = math.Min(dropBurst, c.rateTokens+dropRate*float64(span/time.Millisecond))
+	if !c.duress {
+		return
+	}
+	type heavy struct {
+		r       *req
+		score   int
+		elapsed time.Duration
+	}
+	var found []heavy
+	average, count := 0.0, min(c.doneN, memWindow)
+	for _, m := range c.done[:count] {
+		average += m / float64(count)
+	}
+	for _, r := range c.all {
+		if r.want < running || r.want == over || r.out != none || r.wantOut != none || r.gone {
+			continue
+		}
+		f := heavy{r: r, elapsed: now - r.started}
+		if f.elapsed >= time.Duration(elapsedShare*float64(r.h.timeout)) {
+			f.score++
+		}
+		if r.cpu >= time.Duration(cpuShare*float64(r.h.timeout)) {
+			f.score++
+		}
+		mem := r.size * c.runFactor
+		if c.runMem >= memAll*c.memory && count == memWindow && mem >= memEach*c.memory && mem >= memOver*average {
+			f.score++
+		}
+		if f.score > 0 {
+			found = append(found, f)
+		}
+	}
+	sort.SliceStable(found, func(i, j int) bool {
+		if found[i].score != found[j].score {
+			return found[i].score > found[j].score
+		}
+		return found[i].elapsed > found[j].elapsed
+	})
+	budget := int(math.Min(c.ratioTokens, c.rateTokens))
+	for _, f := range found[:min(budget, len(found), dropBurst)] {
+		c.ratioTokens--
+		c.rateTokens--
+		c.giveUp(f.r, errored)
+	}
+}
+
+// adapt moves the companion cap, the bound on calls and the wanted load, once a tick.
+func (c *Controller) adapt(now time.Duration) {
+	for _, h := range c.handlers {
+		if m, n := h.own.mean(now); n >= minSamples {
+			if h.base == 0 || m < h.base {
+				h.base = m
+			} else {
+				h.base *= baseForget
+			}
+		}
+	}
+	if c.busy < busyLimit && c.runnable <= c.cores {
+		if c.n[held] > 0 {
+			c.cap += math.Max(1, c.cap*capGrow)
+		}
+	} else {
+		c.cap *= 1 - capSmooth*(1-math.Min(1, capTolerance*c.pace(now)))
+	}
+	c.cap = math.Max(c.cores, math.Min(c.cap, c.crowd(now)))
+
+	recent, n := c.call.mean(now)
+	bad, _ := c.callBad.sum(now)
+	switch {
+	case n+bad >= minSamples && bad > callFailing*(n+bad):
+		c.callCap *= 1 - callFailing/2
+	case n >= minSamples && recent > callSlow*c.callBase:
+		c.callCap *= 0.97
+	case len(c.waits) > 0:
+		c.callCap *= 1.1
+	}
+	if n >= minSamples {
+		if c.callBase == 0 || recent < c.callBase {
+			c.callBase = recent
+		} else {
+			c.callBase *= baseForget
+		}
+	}
+	c.callCap = math.Max(1, math.Min(c.callCap, c.crowd(now)))
+
+	late, _ := c.unread.mean(now)
+	worst := 0.0
+	for _, h := range c.handlers {
+		room := finishBy*h.target.Seconds() - h.expected(now)
+		if wait := c.wait(now, h) + late; h.held > 0 && wait > 0 {
+			worst = math.Max(worst, wait/math.Max(0.01, room))
+		}
+	}
+	switch {
+	case c.sheds > 0 || worst > pressed:
+		c.open *= signalDown
+	case worst < pressed/2:
+		c.open *= signalUp
+	}
+	c.open = math.Max(signalMin, math.Min(1, c.open))
+	c.sheds = 0
+}
+
+// pace is base latency over recent latency, over all handlers, 1 at the usual pace.
+func (c *Controller) pace(now time.Duration) float64 {
+	base, recent := 0.0, 0.0
+	for _, h := range c.handlers {
+		if s, n := h.own.sum(now); n >= minSamples {
+			base += h.base * n
+			recent += s
+		}
+	}
+	if recent == 0 {
+		return 1
+	}
+	return base / recent
+}
+
+// crowd is how many reqs may be in progress so that the cores survive all of them at once, cold or warm.
+func (c *Controller) crowd(now time.Duration) float64 {
+	speed := 1.0
+	if age := now - c.started; c.cold && age < c.coldFor {
+		speed = c.coldFrom + (1-c.coldFrom)*age.Seconds()/c.coldFor.Seconds()
+	}
+	return math.Max(1, crowdSafe*c.cores*(1+(c.fall-1)*speed))
+}
+
+// ---- lines ----
+
+func (c *Controller) arrive(now time.Duration, e *Event) {
+	if e.Handler < 0 || len(c.handlers) == 0 {
+		e.Handler = 0
+	}
+	for e.Handler >= len(c.handlers) { // unknown to the settings: bear it, as work that must not run twice
+		c.handlers = append(c.handlers, &handler{timeout: bearable, target: bearable, value: 1, once: true})
+	}
+	h := c.handlers[e.Handler]
+	r := &req{id: e.ID, h: h, arrived: now - e.Unread, size: e.Size}
+	r.due = r.arrived + h.timeout
+	if e.Left > 0 {
+		r.due = now + e.Left
+	}
+	r.due = max(r.due, now)
+	r.target = min(r.arrived+h.target, r.due)
+	if c.leaving {
+		r.due = min(r.due, c.stop)
+	}
+	c.reqs[e.ID] = r
+	c.all = append(c.all, r)
+	c.n[held]++
+	h.held++
+	c.mem += r.size
+	h.came.add(now, 1)
+	c.unread.add(now, e.Unread.Seconds())
+	if e.Customer < len(c.customers) {
+		r.crossed = !c.customers[e.Customer].take(now)
+	}
+	if e.RepeatOf != 0 && !h.once {
+		if _, never := c.lapsed[e.RepeatOf]; !never {
+			if r.fore = c.reqs[e.RepeatOf]; r.fore != nil {
+				r.fore.owed++
+			}
+			c.move(now, r, joined)
+			return
+		}
+	}
+	key := 0.0
+	if h.uniqued {
+		key = c.keySize
+	}
+	wait, share := c.wait(now, h), finishBy
+	if r.crossed {
+		share = overShare
+	}
+	finish := r.arrived + time.Duration(share*float64(r.target-r.arrived))
+	switch {
+	case c.leaving && r.arrived > c.left+c.grace, c.stuck:
+		c.refuse(r, c.maxRetry)
+	case c.mem+key > memHold*c.memory:
+		c.refuse(r, c.maxRetry)
+	case h.expected(now) == 0 && float64(c.n[held]) > startHold*c.cores,
+		now+seconds(wait+h.expected(now)) > finish && (c.n[held] > 1 || c.n[running] > 0):
+		c.sheds++
+		c.refuse(r, seconds(wait))
+	default:
+		if h.uniqued {
+			r.wantKey = r.arrived + h.window + c.batch + time.Millisecond
+			c.touch(r)
+		} else if c.shareFor > 0 && e.Subject != "" && !e.Write && !h.once && c.mem+c.keySize < memLimit*c.memory {
+			r.wantKey = r.due + c.shareFor
+			c.touch(r)
+		}
+		if h.held == 1 {
+			h.pass = math.Max(h.pass, c.turn)
+		}
+		i := 0
+		if r.crossed {
+			i = 1
+		}
+		h.line[i] = append(h.line[i], r)
+	}
+}
+
+// weight is a line's share of the turns: as much as is asked of it, tilted to what is worth more.
+func (h *handler) weight(now time.Duration) float64 {
+	_, n := h.came.sum(now)
+	return (n + 1) * math.Pow(h.value, valueTilt)
+}
+
+func (h *handler) expected(now time.Duration) float64 {
+	if m, n := h.whole.mean(now); n >= minSamples {
+		return m
+	}
+	return h.base
+}
+
+// wait is how long a newcomer to this line is expected to be held, in seconds.
+func (c *Controller) wait(now time.Duration, h *handler) float64 {
+	all, work := 0.0, 0.0
+	for _, o := range c.handlers {
+		if o.held == 0 && o != h {
+			continue
+		}
+		w := o.weight(now)
+		own, n := o.own.mean(now)
+		if n < minSamples {
+			own = o.base
+		}
+		all += w
+		work += w * own
+	}
+	if h.held == 0 || float64(c.n[held]) <= c.cap-float64(c.n[running]) {
+		return 0
+	}
+	return float64(h.held) * work / (c.cap * h.weight(now))
+}
+
+// fill starts held reqs while the cap, the crowd and the memory allow.
+func (c *Controller) fill(now time.Duration) {
+	for c.n[held] > 0 && !c.stuck {
+		inside := float64(c.n[running] + c.n[waiting] + c.n[calling])
+		if float64(c.n[running]) >= c.cap || inside >= c.crowd(now) || c.runnable >= c.crowd(now) {
+			return
+		}
+		var best *handler
+		for _, h := range c.handlers {
+			if h.next() != nil && (best == nil || h.pass < best.pass) {
+				best = h
+			}
+		}
+		if best == nil {
+			return
+		}
+		r := best.next()
+		tooBig := c.mem+r.size*(c.runFactor-1) > memSafe*c.memory
+		if tooBig && inside > 0 {
+			return // what runs will free some
+		}
+		best.pop()
+		if tooBig || c.hopeless(now, r) {
+			c.sheds++
+			c.refuse(r, seconds(c.wait(now, best)))
+			continue
+		}
+		c.turn = best.pass
+		best.pass += 1 / best.weight(now)
+		r.ran, r.started = true, now
+		c.move(now, r, running)
+	}
+}
+
+// hopeless: even a lucky run would end after the target, and a late answer is worth little.
+func (c *Controller) hopeless(now time.Duration, r *req) bool {
+	return now+seconds(stillFinish*r.h.expected(now)) > r.target
+}
+
+func (h *handler) next() *req {
+	for i := range h.line {
+		for len(h.line[i]) > 0 {
+			if r := h.line[i][0]; r.at == held && r.wantOut == none && !r.gone {
+				return r
+			}
+			h.line[i] = h.line[i][1:]
+		}
+	}
+	return nil
+}
+
+func (h *handler) pop() {
+	for i := range h.line {
+		if len(h.line[i]) > 0 {
+			h.line[i] = h.line[i][1:]
+			return
+		}
+	}
+}
+
+func (u *customer) take(now time.Duration) bool {
+	if u.rate <= 0 {
+		return true
+	}
+	u.tokens = math.Min(u.rate*shareBurst, u.tokens+u.rate*(now-u.filled).Seconds())
+	u.filled = now
+	if u.tokens < 1 {
+		return false
+	}
+	u.tokens--
+	return true
+}
+
+// ---- advice ----
+
+// refuse sheds a req that never ran, and tells the caller when to come back. Where this server is slower than
+// its own usual pace the trouble is its own and others may do better; else all are likely full, and a further
+// try would only cost another read.
+func (c *Controller) refuse(r *req, after time.Duration) {
+	if c.retryAdvice {
+		spread := seconds(after.Seconds() * (1 + c.chance.float())) // not all back at once
+		r.retryAfter = min(max(spread, minRetryAfter), c.maxRetry)
+	}
+	now := c.lastTick
+	r.dontRetry = !c.leaving && !c.stuck && !c.cold && c.open < 0.5 && c.pace(now) > slowSelf
+	c.giveUp(r, shed)
+}
+
+// wantedSignal is the value that should ride on answers, in the meaning the settings give.
+func (c *Controller) wantedSignal() float64 {
+	open := c.open
+	if c.leaving || c.stuck {
+		open = 0
+	}
+	switch c.signal {
+	case "floor":
+		return 1 - open
+	case "allowance":
+		return open * (c.cap + c.cores) * 2
+	}
+	return open
+}
+
+// ---- watch ----
+
+// watch keeps the due time of every req, and gives up at once what can earn nothing any more.
+func (c *Controller) watch(now time.Duration, r *req) {
+	if r.stopSent > 0 && r.at == running && now-r.stopSent >= stopAgain {
+		r.stopSent = 0 // the stop had no effect, as while the cores stand still
+		c.touch(r)
+	}
+	if r.out != none || r.wantOut != none || r.gone {
+		return
+	}
+	late := now > r.target && r.h.late == 0
+	switch {
+	case r.due-now <= tick+2*c.batch:
+		c.giveUp(r, errored)
+	case r.want == held && (late || c.hopeless(now, r)):
+		c.sheds++
+		c.refuse(r, seconds(c.wait(now, r.h)))
+	case late && (r.want == waiting || r.want == running && c.duress && c.n[held] > 0):
+		c.giveUp(r, errored)
+	}
+}
+
+// giveUp answers a req at once; what still runs of it is stopped.
+func (c *Controller) giveUp(r *req, how answer) {
+	if r.out != none || r.wantOut != none || r.gone {
+		return
+	}
+	if r.want != held {
+		how = errored
+	}
+	r.wantOut, r.quit = how, true
+	c.touch(r)
+}
+
+func (c *Controller) goneAway(now time.Duration, r *req) {
+	r.gone = true
+	switch {
+	case r.at == held || r.at == joined:
+		c.finish(now, r)
+	case !r.h.uniqued: // a uniqued one works on: its repeat is answered from it
+		r.quit = true
+		c.touch(r)
+	}
+}
+
+func (c *Controller) ended(now time.Duration, r *req, e *Event) {
+	if r.at >= running {
+		c.progress = now
+	}
+	if e.Outcome == OK && r.at == running {
+		c.ratioTokens = math.Min(dropBurst, c.ratioTokens+dropRatio)
+		c.done[c.doneN%memWindow] = r.size * c.runFactor
+		c.doneN++
+	}
+	if r.at == running && (e.Outcome == OK || e.Outcome == Errored) {
+		r.h.own.add(now, (now - r.started - r.callTime).Seconds())
+		r.h.whole.add(now, (now - r.started).Seconds())
+	}
+	c.finish(now, r)
+}
+
+// finish takes a req out of the present state.
+func (c *Controller) finish(now time.Duration, r *req) {
+	c.set(now, r, over)
+	delete(c.reqs, r.id)
+	if r.fore != nil {
+		r.fore.owed--
+		if f := r.fore; f.at == over && !f.ran && f.owed == 0 {
+			f.wantKey = 0
+			c.touch(f)
+		}
+	}
+	if r.h.uniqued && !r.ran && r.fore == nil {
+		c.lapsed[r.id] = now
+		if r.owed == 0 {
+			r.wantKey = 0
+			c.touch(r)
+		}
+	}
+}
+
+// ---- keys ----
+
+func (c *Controller) expire(now time.Duration) {
+	live := c.keys[:0]
+	for _, r := range c.keys {
+		if r.key > now {
+			live = append(live, r)
+		} else if r.key > 0 {
+			c.mem -= c.keySize
+			r.key, r.wantKey = 0, 0
+		}
+	}
+	c.keys = live
+	for id, at := range c.lapsed { // only removal: the order does not matter
+		if now-at > lapseFor {
+			delete(c.lapsed, id)
+		}
+	}
+}
+
+// ---- calls ----
+
+func (c *Controller) callEnded(now time.Duration, r *req, e *Event) {
+	c.progress = now
+	if r.at != calling {
+		return
+	}
+	if e.Outcome == OK {
+		c.call.add(now, e.Took.Seconds())
+		r.callTime += now - r.calledAt
+		c.set(now, r, running)
+		return
+	}
+	c.callBad.add(now, 1)
+	c.set(now, r, waiting)
+	never := e.Outcome == Full || e.Outcome == NoConnection || e.Outcome == Moot
+	if never && r.tries < callTries && now < r.target {
+		r.callAgain = now + time.Duration(r.tries)*callPause
+		c.waits = append(c.waits, r)
+		return
+	}
+	c.skipOr(now, r)
+}
+
+// skipOr goes on without the call where that is worth something, else gives up.
+func (c *Controller) skipOr(now time.Duration, r *req) {
+	if r.h.skip > 0 && r.out == none && !r.gone {
+		r.callTime += now - r.calledAt
+		c.move(now, r, running)
+		return
+	}
+	c.giveUp(r, errored)
+}
+
+// fillCalls lets waiting reqs call, oldest first, within the bound in hand and this server's share.
+func (c *Controller) fillCalls(now time.Duration) {
+	keep := c.waits[:0]
+	for _, r := range c.waits {
+		switch {
+		case r.at != waiting || r.wantOut != none || r.out != none || r.gone:
+		case r.callAgain > now || !c.mayCall(now):
+			if r.h.skip > 0 && c.hopeless(now, r) {
+				c.skipOr(now, r)
+				continue
+			}
+			keep = append(keep, r)
+		default:
+			r.tries++
+			r.callFor = max(r.due-now-tick, time.Millisecond)
+			c.move(now, r, calling)
+		}
+	}
+	clear(c.waits[len(keep):])
+	c.waits = keep
+}
+
+func (c *Controller) mayCall(now time.Duration) bool {
+	hand := float64(c.n[calling])
+	if hand >= c.callCap {
+		return false
+	}
+	if c.below != "shared" || c.share <= 0 {
+		return true
+	}
+	// Below one call the share only holds in the mean, so both are checked.
+	c.tally(now)
+	used, _ := c.inHand.sum(now)
+	return hand < math.Max(1, callSafe*c.share) && used < callSafe*c.share*c.callsOver.Seconds()
+}
+
+// tally adds up call-seconds in hand; it goes before every change of their number.
+func (c *Controller) tally(now time.Duration) {
+	c.inHand.add(now, float64(c.n[calling])*(now-c.inHandAt).Seconds())
+	c.inHandAt = now
+}
+
+// ---- leaving ----
+
+func (c *Controller) leave(now, left time.Duration) {
+	c.leaving, c.left, c.wantHealth = true, now, false
+	c.stop = now + left - tick - 2*c.batch
+	for _, r := range c.all {
+		r.due = min(r.due, c.stop)
+	}
+}
+
+// ---- present and wanted state ----
+
+func (c *Controller) touch(r *req) {
+	if !r.touched {
+		r.touched = true
+		c.touched = append(c.touched, r)
+	}
+}
+
+// weigh is the memory of a req in a place.
+func (c *Controller) weigh(r *req, p place) float64 {
+	switch {
+	case p == over:
+		return 0
+	case p >= running:
+		return r.size * c.runFactor
+	}
+	return r.size
+}
+
+// set takes over what was reported: it is now both the present and the wanted place.
+func (c *Controller) set(now time.Duration, r *req, to place) {
+	c.move(now, r, to)
+	r.at = to
+}
+
+// move changes the wanted place and keeps the counts, which are those of the wanted state.
+func (c *Controller) move(now time.Duration, r *req, to place) {
+	from := r.want
+	if from == to {
+		return
+	}
+	if from == calling || to == calling {
+		c.tally(now)
+	}
+	if from == calling && to == over { // given up: it stays in the dependency's hands for a while
+		c.inHand.add(now, c.linger.Seconds())
+	}
+	if from == held {
+		r.h.held--
+	}
+	c.mem += c.weigh(r, to) - c.weigh(r, from)
+	if from >= running {
+		c.runMem -= c.weigh(r, from)
+	}
+	if to >= running {
+		c.runMem += c.weigh(r, to)
+	}
+	c.n[from]--
+	c.n[to]++
+	r.want = to
+	c.touch(r)
+}
+
+// emit is the one place that acts: it works out what differs between the wanted and the present state.
+func (c *Controller) emit(now time.Duration) []Action {
+	out := c.actions[:0]
+	for i := 0; i < len(c.touched); i++ { // ending one req may touch another
+		r := c.touched[i]
+		r.touched = false
+		if r.wantOut != none && r.out == none {
+			r.out = r.wantOut
+			if r.out == shed {
+				out = append(out, Action{Kind: Shed, ID: r.id, RetryAfter: r.retryAfter, DontRetry: r.dontRetry})
+			} else {
+				out = append(out, Action{Kind: Error, ID: r.id})
+			}
+			if r.at == held || r.at == joined {
+				c.finish(now, r)
+			}
+		}
+		if r.wantKey > r.key && r.at != over {
+			if r.key == 0 {
+				c.mem += c.keySize
+				c.keys = append(c.keys, r)
+			}
+			r.key = r.wantKey
+			out = append(out, Action{Kind: Remember, ID: r.id, For: r.key - now})
+		} else if r.wantKey == 0 && r.key > now {
+			c.mem -= c.keySize
+			r.key = 0
+			out = append(out, Action{Kind: Forget, ID: r.id})
+		}
+		switch from := r.at; {
+		case from == held && r.want == running:
+			out = append(out, Action{Kind: Run, ID: r.id})
+		case from == held && r.want == joined:
+			out = append(out, Action{Kind: Join, ID: r.id})
+		case from == waiting && r.want == calling:
+			out = append(out, Action{Kind: Call, ID: r.id, For: r.callFor})
+		case from == waiting && r.want == running:
+			out = append(out, Action{Kind: Skip, ID: r.id})
+		case from == waiting && r.quit && r.out == none:
+			r.out = errored // nothing is owed, but the run is to end
+			out = append(out, Action{Kind: Error, ID: r.id})
+		}
+		r.at = r.want
+		if r.at == running && r.quit && r.stopSent == 0 && c.canStop {
+			r.stopSent = now
+			out = append(out, Action{Kind: Stop, ID: r.id})
+		}
+	}
+	c.touched = c.touched[:0]
+	if !c.told || c.health != c.wantHealth {
+		c.told, c.health = true, c.wantHealth
+		out = append(out, Action{Kind: Health, Good: c.health, Cheap: true})
+	}
+	if c.signal != "off" {
+		if v := c.wantedSignal(); c.sent != v && (v == 0 || math.Abs(v-c.sent) > signalStep*c.sent || c.open == 1) {
+			c.sent = v
+			out = append(out, Action{Kind: Signal, Value: v})
+		}
+	}
+	if c.timer <= now {
+		c.timer = now + tick
+		out = append(out, Action{Kind: Wake, At: c.timer})
+	}
+	c.actions = out
+	return out
+}
+
+// ---- measures, chance, settings ----
+
+// ring keeps sums over the last ten buckets of time.
+type ring struct {
+	slot   [10]int64
+	sums   [10]float64
+	counts [10]float64
+}
+
+func (r *ring) add(now time.Duration, v float64) {
+	i := int64(now/bucket) + 1
+	k := i % 10
+	if r.slot[k] != i {
+		r.slot[k], r.sums[k], r.counts[k] = i, 0, 0
+	}
+	r.sums[k] += v
+	r.counts[k]++
+}
+
+func (r *ring) sum(now time.Duration) (sum, n float64) {
+	i := int64(now/bucket) + 1
+	for k := range r.slot {
+		if r.slot[k] > i-10 {
+			sum += r.sums[k]
+			n += r.counts[k]
+		}
+	}
+	return sum, n
+}
+
+func (r *ring) mean(now time.Duration) (mean, n float64) {
+	sum, n := r.sum(now)
+	return sum / math.Max(1, n), n
+}
+
+// mwc is a multiply-with-carry generator.
+type mwc struct{ x, carry uint32 }
+
+func (m *mwc) seed(s uint64) { m.x, m.carry = uint32(s)|1, uint32(s>>32)%4294957664+1 }
+
+func (m *mwc) float() float64 {
+	t := uint64(m.x)*4294957665 + uint64(m.carry)
+	m.x, m.carry = uint32(t), uint32(t>>32)
+	return float64(m.x) / (1 << 32)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// get picks a setting; one that is missing or of another type is the given one.
+func get[T any](m map[string]any, k string, missing T) T {
+	if v, ok := m[k].(T); ok {
+		return v
+	}
+	return missing
+}
--- /dev/null
+++ b/overload/trace_test.go
@@ -0,0 +1,187 @@
+package overload
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write the traces anew, to be read before they are committed")
+
+// TestTraces plays the events of each trace file and compares the decisions with those that stand there.
+// Lines that begin with a time are events, those under them the decisions; # starts a comment.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.trace")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no traces", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".trace"), func(t *testing.T) {
+			want, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := play(t, string(want))
+			if *update {
+				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if diff := cmp.Diff(string(want), got); diff != "" && !*update {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// standard settings: three handlers, one of each kind; a trace's own settings go over them.
+func standard() map[string]any {
+	handler := func(repeats string, value float64) any {
+		return map[string]any{"repeats": repeats, "value": value, "response_target": time.Second,
+			"client_timeout": 2 * time.Second, "window": 5 * time.Second}
+	}
+	return map[string]any{
+		"batch_every": time.Millisecond,
+		"handlers":    []any{handler("replayable", 1), handler("uniqued", 1), handler("non-replayable", 1)},
+		"backend": map[string]any{"cores": 2.0, "memory": 1000.0, "run_factor": 4.0, "key_size": 10.0,
+			"halt": "drop", "below": "tier", "signal": "off", "gauges": []any{"busy", "runnable"}},
+		"rules":  map[string]any{"fall_multiple": 8.0, "drain_grace": time.Second, "cold_for": 10 * time.Second},
+		"limits": map[string]any{"retry_after": true, "max_retry_after": time.Second},
+	}
+}
+
+func play(t *testing.T, text string) string {
+	t.Helper()
+	var out strings.Builder
+	var c *Controller
+	var events []Event
+	var now time.Duration
+	settings := standard()
+	flush := func() {
+		if c == nil || len(events) == 0 {
+			return
+		}
+		for _, a := range c.Handle(now, events) {
+			if a.Kind != Wake {
+				fmt.Fprintf(&out, "    %s\n", printed(a))
+			}
+		}
+		events = nil
+	}
+	for _, line := range strings.Split(strings.TrimSuffix(text, "\n"), "\n") {
+		words := strings.Fields(strings.SplitN(line, "#", 2)[0])
+		if strings.HasPrefix(line, " ") {
+			continue // a decision: it is made anew
+		}
+		if len(words) > 0 && words[0] == "set" {
+			section := settings[words[1]].(map[string]any)
+			section[words[2]] = value(words[3])
+		} else if len(words) > 0 {
+			at, err := time.ParseDuration(words[0])
+			if err != nil {
+				t.Fatal(line, err)
+			}
+			if at != now || c == nil {
+				flush()
+				now = at
+			}
+			if c == nil {
+				c = New(1, settings, now)
+			}
+			events = append(events, parse(t, words[1:]))
+		} else {
+			flush()
+		}
+		out.WriteString(line + "\n")
+	}
+	flush()
+	return out.String()
+}
+
+func value(s string) any {
+	if d, err := time.ParseDuration(s); err == nil && s != "0" {
+		return d
+	}
+	if f, err := strconv.ParseFloat(s, 64); err == nil {
+		return f
+	}
+	if b, err := strconv.ParseBool(s); err == nil {
+		return b
+	}
+	return s
+}
+
+var eventNames = map[string]EventKind{"arrived": Arrived, "ended": Ended, "gone": Gone, "needs-call": NeedsCall,
+	"call-ended": CallEnded, "tick": Timer, "leave": Leave}
+
+var outcomeNames = map[string]Outcome{"ok": OK, "errored": Errored, "full": Full, "timed-out": TimedOut,
+	"no-connection": NoConnection, "broken-off": BrokenOff, "stopped": Stopped, "moot": Moot}
+
+func parse(t *testing.T, words []string) Event {
+	t.Helper()
+	e := Event{Kind: eventNames[words[0]], Size: 1}
+	if e.Kind == 0 {
+		t.Fatal("unknown event", words)
+	}
+	for _, w := range words[1:] {
+		k, v, named := strings.Cut(w, "=")
+		n, _ := strconv.Atoi(v)
+		d, _ := time.ParseDuration(v)
+		f, _ := strconv.ParseFloat(v, 64)
+		switch {
+		case !named && e.Kind == Leave:
+			e.Left, _ = time.ParseDuration(w)
+		case !named && outcomeNames[w] != 0:
+			e.Outcome = outcomeNames[w]
+		case !named:
+			e.ID, _ = strconv.ParseUint(w, 10, 64)
+		case k == "handler":
+			e.Handler = n
+		case k == "customer":
+			e.Customer = n
+		case k == "left":
+			e.Left = d
+		case k == "unread":
+			e.Unread = d
+		case k == "repeats":
+			e.RepeatOf = uint64(n)
+		case k == "subject":
+			e.Subject = v
+		case k == "size":
+			e.Size = f
+		case k == "took":
+			e.Took = d
+		case k == "busy" || k == "runnable":
+			e.Gauges = append(e.Gauges, f)
+		default:
+			t.Fatal("unknown field", w)
+		}
+	}
+	return e
+}
+
+func printed(a Action) string {
+	switch a.Kind {
+	case Shed:
+		s := fmt.Sprintf("shed %d come back in %v", a.ID, a.RetryAfter.Round(time.Millisecond))
+		if a.DontRetry {
+			s += ", not elsewhere"
+		}
+		return s
+	case Call, Remember:
+		return fmt.Sprintf("%s %d for %v", map[ActionKind]string{Call: "call", Remember: "remember"}[a.Kind], a.ID, a.For)
+	case Health:
+		return fmt.Sprintf("health good=%v", a.Good)
+	case Signal:
+		return fmt.Sprintf("signal %.3f", a.Value)
+	}
+	names := map[ActionKind]string{Run: "run", Stop: "stop", Error: "error", Skip: "skip", Forget: "forget", Join: "join"}
+	return fmt.Sprintf("%s %d", names[a.Kind], a.ID)
+}
