Cap scales down also by the reqs that want a core

The cap now also shrinks by the ratio of 1.5 reqs a core to what the gauge says wants a core. Also covers any crowd that does not come from runs (reading, connections); could harm where the gauge counts what takes no core.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -35,6 +35,7 @@
 	cpuShare      = 0.2                    // of the client timeout: half of elapsed, as in the source
 	capGrow       = 0.25                   // part of the cap added a tick while cores are free: x10 in a second
 	capSmooth     = 0.1                    // weight of one tick's latency ratio: a second to follow a change
+	capWanting    = 1.5                    // reqs wanting each core that still do not slow one another much
 	capTolerance  = 1.5                    // recent over base latency that is still no reason to shrink
 	baseForget    = 1.0005                 // growth of base latency a tick: 30% a minute, outlives a trouble
 	minSamples    = 4                      // runs in the window before a latency is believed
@@ -157,7 +158,7 @@
 	ratioTokens, rateTokens   float64
 	done                      [memWindow]float64
 	doneN                     int
-	busy, runnable            float64
+	busy, runnable, wanting   float64
 	progress, lastTick, timer time.Duration
 	stuck, callRefused        bool
 	open, sent                float64
@@ -357,12 +358,15 @@
 			}
 		}
 	}
+	// Where reqs mostly wait for disk their latency hides how crowded the cores are; what wants a core tells.
+	c.wanting += capSmooth * (c.runnable - c.wanting)
 	if c.busy < busyLimit && c.runnable <= c.cores {
 		if c.n[held] > 0 {
 			c.cap += math.Max(1, c.cap*capGrow)
 		}
 	} else {
-		c.cap *= 1 - capSmooth*(1-math.Min(1, capTolerance*c.pace(now)))
+		ratio := math.Min(capTolerance*c.pace(now), capWanting*c.cores/math.Max(1, c.wanting))
+		c.cap *= 1 - capSmooth*(1-math.Min(1, ratio))
 	}
 	c.cap = math.Max(c.cores, math.Min(c.cap, c.crowd(now)))
 
