--- a/overload/overload.go
+++ b/overload/overload.go
@@ -58,9 +58,8 @@
 	stuckAfter    = 2 * time.Second        // no progress of running work for this long: it hangs
 	stopAgain     = 500 * time.Millisecond // a stop without effect is asked for again
 	minRetryAfter = 100 * time.Millisecond // less is no advice
-	signalDown    = 0.9                    // factor a tick on the wanted load while it is too much
-	signalUp      = 1.03                   // factor a tick when it is not
-	signalMin     = 0.02                   // some load must come, or recovery is not seen
+	signalPace    = 0.1                    // of the way to the wanted load a tick: a second, as long as advice is kept
+	signalMin     = 0.25                   // least load wanted: some must come, or recovery is not seen
 	signalStep    = 0.05                   // relative change below which the signal stays as it is
 	pressed       = 0.6                    // share of the time allowed for waiting from which load is too much
 	valueTilt     = 0.5                    // exponent of value in a line's weight: 0 none, 1 full
@@ -387,24 +386,19 @@
 			c.callBase *= baseForget
 		}
 	}
-	c.callCap = math.Max(1, math.Min(c.callCap, c.crowd(now)))
+	// One call a core always: what waits here has been read and half run, and a bound that fell on a few slow
+	// calls to one bad peer would lose it all.
+	c.callCap = math.Max(c.cores, math.Min(c.callCap, c.crowd(now)))
 
+	// The wanted load follows how full the time for waiting is, slowly: callers that all turn away at once
+	// all come back at once.
 	late, _ := c.unread.mean(now)
 	worst := 0.0
 	for _, h := range c.handlers {
 		room := finishBy*h.target.Seconds() - h.expected(now)
-		if wait := c.wait(now, h) + late; h.held > 0 && wait > 0 {
-			worst = math.Max(worst, wait/math.Max(0.01, room))
-		}
-	}
-	switch {
-	case c.sheds > 0 || worst > pressed:
-		c.open *= signalDown
-	case worst < pressed/2:
-		c.open *= signalUp
+		worst = math.Max(worst, (c.wait(now, h)+late)/math.Max(0.01, room))
 	}
-	c.open = math.Max(signalMin, math.Min(1, c.open))
-	c.sheds = 0
+	c.open += signalPace * (math.Max(signalMin, math.Min(1, pressed/math.Max(0.01, worst))) - c.open)
 }
 
 // pace is base latency over recent latency, over all handlers, 1 at the usual pace.
@@ -486,8 +480,7 @@
 		c.refuse(r, c.maxRetry)
 	case h.expected(now) == 0 && float64(c.n[held]) > startHold*c.cores,
 		now+seconds(wait+h.expected(now)) > finish && (c.n[held] > 1 || c.n[running] > 0):
-		c.sheds++
-		c.refuse(r, seconds(wait))
+		c.refuse(r, now+seconds(wait+h.expected(now))-finish)
 	default:
 		if h.uniqued {
 			r.wantKey = r.arrived + h.window + c.batch + time.Millisecond
@@ -564,8 +557,7 @@
 		}
 		best.pop()
 		if tooBig || c.hopeless(now, r) {
-			c.sheds++
-			c.refuse(r, seconds(c.wait(now, best)))
+			c.refuse(r, minRetryAfter)
 			continue
 		}
 		c.turn = best.pass
@@ -621,7 +613,7 @@
 // try would only cost another read.
 func (c *Controller) refuse(r *req, after time.Duration) {
 	if c.retryAdvice {
-		spread := seconds(after.Seconds() * (1 + c.chance.float())) // not all back at once
+		spread := seconds(after.Seconds() * (0.5 + c.chance.float())) // not all back at once
 		r.retryAfter = min(max(spread, minRetryAfter), c.maxRetry)
 	}
 	now := c.lastTick
@@ -660,8 +652,7 @@
 	case r.due-now <= tick+2*c.batch:
 		c.giveUp(r, errored)
 	case r.want == held && (late || c.hopeless(now, r)):
-		c.sheds++
-		c.refuse(r, seconds(c.wait(now, r.h)))
+		c.refuse(r, minRetryAfter)
 	case late && (r.want == waiting || r.want == running && c.duress && c.n[held] > 0):
 		c.giveUp(r, errored)
 	}
