Allowance split by the effective number of callers

It is now the room of this server over the number of callers of the largest size that would send as much. Could harm where one caller's traffic shifts faster than two seconds.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -58,11 +58,14 @@
 	stuckAfter    = 2 * time.Second        // no progress of running work for this long: it hangs
 	stopAgain     = 500 * time.Millisecond // a stop without effect is asked for again
 	minRetryAfter = 100 * time.Millisecond // less is no advice
-	signalPace    = 0.1                    // of the way to the wanted load a tick: a second, as long as advice is kept
+	maxCallers    = 256                    // counts of edge nodes; more than that share them
+	callerKeep    = 0.95                   // of a caller's count a tick: two seconds of its traffic
+	signalPace    = 0.1                    // of the way to the wanted load a tick: a second, as long as it is kept
 	signalMin     = 0.25                   // least load wanted: some must come, or recovery is not seen
 	signalStep    = 0.05                   // relative change below which the signal stays as it is
 	pressed       = 0.6                    // share of the time allowed for waiting from which load is too much
 	valueTilt     = 0.5                    // exponent of value in a line's weight: 0 none, 1 full
+	full          = 0.5                    // wanted load under which this server counts as full, not just busy
 	slowSelf      = 0.6                    // base over recent latency below which the trouble is its own
 	bearable      = 10 * time.Second       // client timeout where none is told
 	lapseFor      = 2 * time.Second        // a never-run forerunner is known this long: longer than any batch
@@ -150,7 +153,7 @@
 	left, stop                                  time.Duration // the notice, and when the process stops
 	leaving                                     bool
 
-	mem, runMem               float64
+	mem                       float64
 	cap, callCap, turn        float64
 	hot                       int
 	duress                    bool
@@ -159,10 +162,10 @@
 	doneN                     int
 	busy, runnable, wanting   float64
 	progress, lastTick, timer time.Duration
-	stuck, callRefused        bool
+	stuck                     bool
 	open, sent                float64
 	health, wantHealth, told  bool
-	sheds                     int
+	callers                   [maxCallers]float64 // recent arrivals
 	unread, call, callBad     ring
 	callBase                  float64
 	inHand                    ring
@@ -259,11 +262,13 @@
 	span := min(now-c.lastTick, 3*tick) // after a standstill the busy share says nothing of the gap
 	c.lastTick = now
 	c.busy, c.runnable = 0, 0
-	if c.gBusy >= 0 && c.gBusy < len(gauges) {
-		c.busy = gauges[c.gBusy]
-	}
-	if c.gRunnable >= 0 && c.gRunnable < len(gauges) {
-		c.runnable = gauges[c.gRunnable]
+	for i, g := range gauges {
+		switch i {
+		case c.gBusy:
+			c.busy = g
+		case c.gRunnable:
+			c.runnable = g
+		}
 	}
 	onCores := float64(c.n[running])
 	credit := time.Duration(float64(span) * c.busy * c.cores / math.Max(onCores, c.cores))
@@ -309,6 +314,12 @@
 		elapsed time.Duration
 	}
 	var found []heavy
+	all := 0.0
+	for _, r := range c.all {
+		if r.want >= running {
+			all += c.weigh(r, r.want)
+		}
+	}
 	average, count := 0.0, min(c.doneN, memWindow)
 	for _, m := range c.done[:count] {
 		average += m / float64(count)
@@ -325,7 +336,7 @@
 			f.score++
 		}
 		mem := r.size * c.runFactor
-		if c.runMem >= memAll*c.memory && count == memWindow && mem >= memEach*c.memory && mem >= memOver*average {
+		if all >= memAll*c.memory && count == memWindow && mem >= memEach*c.memory && mem >= memOver*average {
 			f.score++
 		}
 		if f.score > 0 {
@@ -392,6 +403,9 @@
 
 	// The wanted load follows how full the time for waiting is, slowly: callers that all turn away at once
 	// all come back at once.
+	for i := range c.callers {
+		c.callers[i] *= callerKeep
+	}
 	late, _ := c.unread.mean(now)
 	worst := 0.0
 	for _, h := range c.handlers {
@@ -428,9 +442,7 @@
 // ---- lines ----
 
 func (c *Controller) arrive(now time.Duration, e *Event) {
-	if e.Handler < 0 || len(c.handlers) == 0 {
-		e.Handler = 0
-	}
+	e.Handler = max(e.Handler, 0)
 	for e.Handler >= len(c.handlers) { // unknown to the settings: bear it, as work that must not run twice
 		c.handlers = append(c.handlers, &handler{timeout: bearable, target: bearable, value: 1, once: true})
 	}
@@ -452,6 +464,7 @@
 	c.mem += r.size
 	h.came.add(now, 1)
 	c.unread.add(now, e.Unread.Seconds())
+	c.callers[uint(e.Caller)%maxCallers]++
 	if e.Customer < len(c.customers) {
 		r.crossed = !c.customers[e.Customer].take(now)
 	}
@@ -468,9 +481,9 @@
 	if h.uniqued {
 		key = c.keySize
 	}
-	wait, share := c.wait(now, h), finishBy
+	wait, share, place := c.wait(now, h), finishBy, 0
 	if r.crossed {
-		share = overShare
+		share, place = overShare, 1
 	}
 	finish := r.arrived + time.Duration(share*float64(r.target-r.arrived))
 	switch {
@@ -492,11 +505,7 @@
 		if h.held == 1 {
 			h.pass = math.Max(h.pass, c.turn)
 		}
-		i := 0
-		if r.crossed {
-			i = 1
-		}
-		h.line[i] = append(h.line[i], r)
+		h.line[place] = append(h.line[place], r)
 	}
 }
 
@@ -616,8 +625,7 @@
 		spread := seconds(after.Seconds() * (0.5 + c.chance.float())) // not all back at once
 		r.retryAfter = min(max(spread, minRetryAfter), c.maxRetry)
 	}
-	now := c.lastTick
-	r.dontRetry = !c.leaving && !c.stuck && !c.cold && c.open < 0.5 && c.pace(now) > slowSelf
+	r.dontRetry = !c.leaving && !c.stuck && !c.cold && c.open < full && c.pace(c.lastTick) > slowSelf
 	c.giveUp(r, shed)
 }
 
@@ -631,7 +639,13 @@
 	case "floor":
 		return 1 - open
 	case "allowance":
-		return open * (c.cap + c.cores) * 2
+		// Callers differ much in size: what counts is how many of the largest size would send as much.
+		sum, squares := 0.0, 0.0
+		for _, n := range c.callers {
+			sum += n
+			squares += n * n
+		}
+		return open * (c.cap + c.cores) * math.Max(squares, 1) / math.Max(1, sum*sum)
 	}
 	return open
 }
@@ -834,13 +848,8 @@
 
 // weigh is the memory of a req in a place.
 func (c *Controller) weigh(r *req, p place) float64 {
-	switch {
-	case p == over:
-		return 0
-	case p >= running:
-		return r.size * c.runFactor
-	}
-	return r.size
+	f := c.runFactor
+	return r.size * [places]float64{held: 1, joined: 1, running: f, waiting: f, calling: f}[p]
 }
 
 // set takes over what was reported: it is now both the present and the wanted place.
@@ -865,12 +874,6 @@
 		r.h.held--
 	}
 	c.mem += c.weigh(r, to) - c.weigh(r, from)
-	if from >= running {
-		c.runMem -= c.weigh(r, from)
-	}
-	if to >= running {
-		c.runMem += c.weigh(r, to)
-	}
 	c.n[from]--
 	c.n[to]++
 	r.want = to
