--- a/overload/overload.go
+++ b/overload/overload.go
@@ -65,7 +65,7 @@
 	signalStep    = 0.05                   // relative change below which the signal stays as it is
 	pressed       = 0.6                    // share of the time allowed for waiting from which load is too much
 	valueTilt     = 0.5                    // exponent of value in a line's weight: 0 none, 1 full
-	full          = 0.5                    // wanted load under which this server counts as full, not just busy
+	full          = 0.9                    // wanted load under which this server counts as full, not just busy
 	slowSelf      = 0.6                    // base over recent latency below which the trouble is its own
 	bearable      = 10 * time.Second       // client timeout where none is told
 	lapseFor      = 2 * time.Second        // a never-run forerunner is known this long: longer than any batch
