Signal integrates fresh pressure; time unread counts at once

The time unread was a mean of five seconds and the signal proportional to it. Covers any jam before reading; could harm where many callers heed at once: steps are bounded for that.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -60,8 +60,12 @@
 	minRetryAfter = 100 * time.Millisecond // less is no advice
 	maxCallers    = 256                    // counts of edge nodes; more than that share them
 	callerKeep    = 0.95                   // of a caller's count a tick: two seconds of its traffic
-	signalPace    = 0.1                    // of the way to the wanted load a tick: a second, as long as it is kept
-	signalMin     = 0.25                   // least load wanted: some must come, or recovery is not seen
+	lateNew       = 0.1                    // weight of one arrival's time unread: some ten arrivals count
+	lateKeep      = 0.98                   // of that a tick, so that it fades where nothing comes
+	signalPace    = 0.2                    // relative change a tick of the wanted load for each unit of pressure off
+	signalDown    = 0.93                   // least factor a tick: halved in a second, as long as it is kept
+	signalUp      = 1.05                   // greatest factor a tick: slower up than down
+	signalMin     = 0.05                   // least load wanted: some must come, or recovery is not seen
 	signalStep    = 0.05                   // relative change below which the signal stays as it is
 	pressed       = 0.6                    // share of the time allowed for waiting from which load is too much
 	valueTilt     = 0.5                    // exponent of value in a line's weight: 0 none, 1 full
@@ -166,7 +170,8 @@
 	open, sent                float64
 	health, wantHealth, told  bool
 	callers                   [maxCallers]float64 // recent arrivals
-	unread, call, callBad     ring
+	late                      float64             // recent time unread, in seconds
+	call, callBad             ring
 	callBase                  float64
 	inHand                    ring
 	inHandAt                  time.Duration
@@ -406,13 +411,14 @@
 	for i := range c.callers {
 		c.callers[i] *= callerKeep
 	}
-	late, _ := c.unread.mean(now)
 	worst := 0.0
 	for _, h := range c.handlers {
 		room := finishBy*h.target.Seconds() - h.expected(now)
-		worst = math.Max(worst, (c.wait(now, h)+late)/math.Max(0.01, room))
+		worst = math.Max(worst, (c.wait(now, h)+c.late)/math.Max(0.01, room))
 	}
-	c.open += signalPace * (math.Max(signalMin, math.Min(1, pressed/math.Max(0.01, worst))) - c.open)
+	c.late *= lateKeep
+	c.open *= math.Max(signalDown, math.Min(signalUp, 1+signalPace*(pressed-worst)))
+	c.open = math.Max(signalMin, math.Min(1, c.open))
 }
 
 // pace is base latency over recent latency, over all handlers, 1 at the usual pace.
@@ -463,7 +469,7 @@
 	h.held++
 	c.mem += r.size
 	h.came.add(now, 1)
-	c.unread.add(now, e.Unread.Seconds())
+	c.late += lateNew * (e.Unread.Seconds() - c.late)
 	c.callers[uint(e.Caller)%maxCallers]++
 	if e.Customer < len(c.customers) {
 		r.crossed = !c.customers[e.Customer].take(now)
