--- a/overload/overload.go
+++ b/overload/overload.go
@@ -570,7 +570,6 @@
 		if tooBig && inside > 0 {
 			return // what runs will free some
 		}
-		best.pop()
 		if tooBig || c.hopeless(now, r) {
 			c.refuse(r, minRetryAfter)
 			continue
@@ -587,27 +586,18 @@
 	return now+seconds(stillFinish*r.h.expected(now)) > r.target
 }
 
+// next is the first of the line that still waits, those within their customer's share before the others.
 func (h *handler) next() *req {
 	for i := range h.line {
-		for len(h.line[i]) > 0 {
-			if r := h.line[i][0]; r.at == held && r.wantOut == none && !r.gone {
+		for ; len(h.line[i]) > 0; h.line[i] = h.line[i][1:] {
+			if r := h.line[i][0]; r.want == held && r.wantOut == none && !r.gone {
 				return r
 			}
-			h.line[i] = h.line[i][1:]
 		}
 	}
 	return nil
 }
 
-func (h *handler) pop() {
-	for i := range h.line {
-		if len(h.line[i]) > 0 {
-			h.line[i] = h.line[i][1:]
-			return
-		}
-	}
-}
-
 func (u *customer) take(now time.Duration) bool {
 	if u.rate <= 0 {
 		return true
