Learn callers' patience; bound on calls is four a core

The given-up tries tell how long callers wait; a done req that waited longer proves more. Told apart from slow servers by the times of giving up: one value for each handler, not a spread.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -50,16 +50,15 @@
 	memHold       = 0.96                   // of memory past which newcomers are shed
 	crowdSafe     = 0.85                   // of the crowd on the cores that the server survives
 	callSafe      = 0.9                    // of this server's share of the calls that the dependency survives
-	callSlow      = 2.0                    // recent over base latency of calls from which fewer are made
-	callStart     = 2.0                    // calls in hand a core to start with, where no share is told
+	callsEach     = 4.0                    // calls in hand a core: slow ones bind no more memory than this
 	callTries     = 4                      // tries of one call, proved never-run each time
 	callPause     = 60 * time.Millisecond  // before the next try, times the tries so far
-	callFailing   = 0.2                    // share of failed calls from which fewer are made
 	stuckAfter    = 2 * time.Second        // no progress of running work for this long: it hangs
 	stopAgain     = 500 * time.Millisecond // a stop without effect is asked for again
 	minRetryAfter = 100 * time.Millisecond // less is no advice
 	maxCallers    = 256                    // counts of edge nodes; more than that share them
 	callerKeep    = 0.95                   // of a caller's count a tick: two seconds of its traffic
+	patiencePace  = 0.1                    // weight of one given-up try in a caller's patience: ten settle it
 	lateNew       = 0.1                    // weight of one arrival's time unread: some ten arrivals count
 	lateKeep      = 0.98                   // of that a tick, so that it fades where nothing comes
 	signalPace    = 0.2                    // relative change a tick of the wanted load for each unit of pressure off
@@ -158,7 +157,7 @@
 	leaving                                     bool
 
 	mem                       float64
-	cap, callCap, turn        float64
+	cap, turn                 float64
 	hot                       int
 	duress                    bool
 	ratioTokens, rateTokens   float64
@@ -170,9 +169,8 @@
 	open, sent                float64
 	health, wantHealth, told  bool
 	callers                   [maxCallers]float64 // recent arrivals
+	patience                  float64             // share of the client timeout after which a try is given up, 0 unknown
 	late                      float64             // recent time unread, in seconds
-	call, callBad             ring
-	callBase                  float64
 	inHand                    ring
 	inHandAt                  time.Duration
 }
@@ -221,7 +219,7 @@
 		rate := get(m, "quota_per_s", 0.0) / servers * shareSlack
 		c.customers = append(c.customers, &customer{rate: rate, tokens: rate * shareBurst, filled: now})
 	}
-	c.cap, c.callCap = c.cores, c.cores*callStart
+	c.cap = c.cores
 	c.ratioTokens, c.rateTokens = dropBurst, dropBurst
 	return c
 }
@@ -385,27 +383,6 @@
 	}
 	c.cap = math.Max(c.cores, math.Min(c.cap, c.crowd(now)))
 
-	recent, n := c.call.mean(now)
-	bad, _ := c.callBad.sum(now)
-	switch {
-	case n+bad >= minSamples && bad > callFailing*(n+bad):
-		c.callCap *= 1 - callFailing/2
-	case n >= minSamples && recent > callSlow*c.callBase:
-		c.callCap *= 0.97
-	case len(c.waits) > 0:
-		c.callCap *= 1.1
-	}
-	if n >= minSamples {
-		if c.callBase == 0 || recent < c.callBase {
-			c.callBase = recent
-		} else {
-			c.callBase *= baseForget
-		}
-	}
-	// One call a core always: what waits here has been read and half run, and a bound that fell on a few slow
-	// calls to one bad peer would lose it all.
-	c.callCap = math.Max(c.cores, math.Min(c.callCap, c.crowd(now)))
-
 	// The wanted load follows how full the time for waiting is, slowly: callers that all turn away at once
 	// all come back at once.
 	for i := range c.callers {
@@ -460,6 +437,9 @@
 	}
 	r.due = max(r.due, now)
 	r.target = min(r.arrived+h.target, r.due)
+	if e.Left == 0 && c.patience > 0 && !h.once && !h.uniqued {
+		r.target = min(r.target, r.arrived+time.Duration(c.patience*float64(h.timeout)))
+	}
 	if c.leaving {
 		r.due = min(r.due, c.stop)
 	}
@@ -682,6 +662,9 @@
 
 func (c *Controller) goneAway(now time.Duration, r *req) {
 	r.gone = true
+	if r.out == none && !r.h.once && !r.h.uniqued {
+		c.learn(now, r, true)
+	}
 	switch {
 	case r.at == held || r.at == joined:
 		c.finish(now, r)
@@ -691,6 +674,19 @@
 	}
 }
 
+// learn corrects the patience of callers. Where no time left is told, callers that try again give up a try
+// long before the client timeout, and work past that is lost. Given-up tries tell their patience; a done req that
+// waited longer proves more, so that single impatient clients or cancelled copies don't make all seem so.
+func (c *Controller) learn(now time.Duration, r *req, gaveUp bool) {
+	f := (now - r.arrived).Seconds() / r.h.timeout.Seconds()
+	switch p := &c.patience; {
+	case *p == 0 && gaveUp:
+		*p = f
+	case gaveUp || *p > 0 && f > *p:
+		*p += patiencePace * (f - *p)
+	}
+}
+
 func (c *Controller) ended(now time.Duration, r *req, e *Event) {
 	if r.at >= running {
 		c.progress = now
@@ -699,6 +695,7 @@
 		c.ratioTokens = math.Min(dropBurst, c.ratioTokens+dropRatio)
 		c.done[c.doneN%memWindow] = r.size * c.runFactor
 		c.doneN++
+		c.learn(now, r, false)
 	}
 	if r.at == running && (e.Outcome == OK || e.Outcome == Errored) {
 		r.h.own.add(now, (now - r.started - r.callTime).Seconds())
@@ -755,12 +752,10 @@
 		return
 	}
 	if e.Outcome == OK {
-		c.call.add(now, e.Took.Seconds())
 		r.callTime += now - r.calledAt
 		c.set(now, r, running)
 		return
 	}
-	c.callBad.add(now, 1)
 	c.set(now, r, waiting)
 	never := e.Outcome == Full || e.Outcome == NoConnection || e.Outcome == Moot
 	if never && r.tries < callTries && now < r.target {
@@ -805,7 +800,7 @@
 
 func (c *Controller) mayCall(now time.Duration) bool {
 	hand := float64(c.n[calling])
-	if hand >= c.callCap {
+	if hand >= math.Min(callsEach*c.cores, c.crowd(now)) {
 		return false
 	}
 	if c.below != "shared" || c.share <= 0 {
