Calls in hand stay within the share of a dependency in every window

Cause: a share of 1.34 calls let two in hand, and those in hand when it turned slow stayed for their whole time-outs. Now rounded down, time-outs cut to what is left in the window, given-up calls counted while they linger.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -51,6 +51,7 @@
 	crowdSafe     = 0.85                   // of the crowd on the cores that the server survives
 	callSafe      = 0.9                    // of this server's share of the calls that the dependency survives
 	callsEach     = 4.0                    // calls in hand a core: slow ones bind no more memory than this
+	callLeast     = 400 * time.Millisecond // least time worth a call, lingering included
 	callTries     = 4                      // tries of one call, proved never-run each time
 	callPause     = 60 * time.Millisecond  // before the next try, times the tries so far
 	stuckAfter    = 2 * time.Second        // no progress of running work for this long: it hangs
@@ -782,7 +783,7 @@
 	for _, r := range c.waits {
 		switch {
 		case r.at != waiting || r.wantOut != none || r.out != none || r.gone:
-		case r.callAgain > now || !c.mayCall(now):
+		case r.callAgain > now || c.mayCall(now) == 0:
 			if r.h.skip > 0 && c.hopeless(now, r) {
 				c.skipOr(now, r)
 				continue
@@ -790,7 +791,7 @@
 			keep = append(keep, r)
 		default:
 			r.tries++
-			r.callFor = max(r.due-now-tick, time.Millisecond)
+			r.callFor = max(min(r.due-now-tick, c.mayCall(now)), time.Millisecond)
 			c.move(now, r, calling)
 		}
 	}
@@ -798,18 +799,25 @@
 	c.waits = keep
 }
 
-func (c *Controller) mayCall(now time.Duration) bool {
-	hand := float64(c.n[calling])
-	if hand >= math.Min(callsEach*c.cores, c.crowd(now)) {
-		return false
+// mayCall tells how long another call may last, 0 that there is no room for it. Guards against a dependency that
+// turns slow with all calls in hand (incident i502e29): what is in hand now may stay for its whole time-out, so that
+// is cut to what is left of this server's share of call-seconds; given-up calls linger and count. Harm: after many
+// failed calls the next ones wait for the window to pass, also where the dependency is well again.
+func (c *Controller) mayCall(now time.Duration) time.Duration {
+	hand := float64(c.n[calling] + 1)
+	if hand > math.Min(callsEach*c.cores, c.crowd(now)) {
+		return 0
 	}
 	if c.below != "shared" || c.share <= 0 {
-		return true
+		return math.MaxInt64
 	}
-	// Below one call the share only holds in the mean, so both are checked.
 	c.tally(now)
 	used, _ := c.inHand.sum(now)
-	return hand < math.Max(1, callSafe*c.share) && used < callSafe*c.share*c.callsOver.Seconds()
+	left := seconds((callSafe*c.share*math.Min(c.callsOver.Seconds(), 9*bucket.Seconds()) - used) / hand)
+	if hand > math.Max(1, callSafe*c.share) || left < callLeast {
+		return 0
+	}
+	return left - c.linger
 }
 
 // tally adds up call-seconds in hand; it goes before every change of their number.
@@ -858,7 +866,7 @@
 	if from == calling || to == calling {
 		c.tally(now)
 	}
-	if from == calling && to == over { // given up: it stays in the dependency's hands for a while
+	if from == calling && to != running { // given up: it stays in the dependency's hands for a while
 		c.inHand.add(now, c.linger.Seconds())
 	}
 	if from == held {
