Own slowness is judged net of the crowd on the cores

Could harm on a machine slowed by a neighbour that also fills the gauge: its callers are then told not to go on.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -602,7 +602,8 @@
 		spread := seconds(after.Seconds() * (0.5 + c.chance.float())) // not all back at once
 		r.retryAfter = min(max(spread, minRetryAfter), c.maxRetry)
 	}
-	r.dontRetry = !c.leaving && !c.stuck && !c.cold && c.open < full && c.pace(c.lastTick) > slowSelf
+	crowded := math.Max(1, c.wanting/c.cores) // slow for the crowd on its cores is not slow by itself
+	r.dontRetry = !c.leaving && !c.stuck && !c.cold && c.open < full && c.pace(c.lastTick)*crowded > slowSelf
 	c.giveUp(r, shed)
 }
 
