--- a/overload/overload.go
+++ b/overload/overload.go
@@ -70,7 +70,6 @@
 	pressed       = 0.6                    // share of the time allowed for waiting from which load is too much
 	valueTilt     = 0.5                    // exponent of value in a line's weight: 0 none, 1 full
 	full          = 0.9                    // wanted load under which this server counts as full, not just busy
-	slowSelf      = 0.6                    // base over recent latency below which the trouble is its own
 	bearable      = 10 * time.Second       // client timeout where none is told
 	lapseFor      = 2 * time.Second        // a never-run forerunner is known this long: longer than any batch
 )
@@ -594,16 +593,15 @@
 
 // ---- advice ----
 
-// refuse sheds a req that never ran, and tells the caller when to come back. Where this server is slower than
-// its own usual pace the trouble is its own and others may do better; else all are likely full, and a further
-// try would only cost another read.
+// refuse sheds a req that never ran, and tells the caller when to come back. While the wanted load is down others
+// are likely full too, and a further try would cost another read. Guards against storms of further tries, whatever
+// began them; harms where only this server is slow: reqs it sheds then are lost though others had room.
 func (c *Controller) refuse(r *req, after time.Duration) {
 	if c.retryAdvice {
 		spread := seconds(after.Seconds() * (0.5 + c.chance.float())) // not all back at once
 		r.retryAfter = min(max(spread, minRetryAfter), c.maxRetry)
 	}
-	crowded := math.Max(1, c.wanting/c.cores) // slow for the crowd on its cores is not slow by itself
-	r.dontRetry = !c.leaving && !c.stuck && !c.cold && c.open < full && c.pace(c.lastTick)*crowded > slowSelf
+	r.dontRetry = !c.leaving && !c.stuck && !c.cold && c.open < full
 	c.giveUp(r, shed)
 }
 
