--- a/overload/overload.go
+++ b/overload/overload.go
@@ -69,7 +69,7 @@
 	signalStep    = 0.05                   // relative change below which the signal stays as it is
 	pressed       = 0.6                    // share of the time allowed for waiting from which load is too much
 	valueTilt     = 0.5                    // exponent of value in a line's weight: 0 none, 1 full
-	full          = 0.9                    // wanted load under which this server counts as full, not just busy
+	full          = 0.97                    // wanted load under which this server counts as full, not just busy
 	bearable      = 10 * time.Second       // client timeout where none is told
 	lapseFor      = 2 * time.Second        // a never-run forerunner is known this long: longer than any batch
 )
@@ -601,7 +601,7 @@
 		spread := seconds(after.Seconds() * (0.5 + c.chance.float())) // not all back at once
 		r.retryAfter = min(max(spread, minRetryAfter), c.maxRetry)
 	}
-	r.dontRetry = !c.leaving && !c.stuck && !c.cold && c.open < full
+	r.dontRetry = !c.leaving && !c.stuck && c.open < full
 	c.giveUp(r, shed)
 }
 
