Admitted work may use less of the target while the wanted load is low

Cause: in storms a tenth to a fifth ends late, since most tries have spent time elsewhere that is not told.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -41,6 +41,7 @@
 	minSamples    = 4                      // runs in the window before a latency is believed
 	bucket        = 500 * time.Millisecond // width of a bucket; ten make the window of 5 s
 	finishBy      = 0.85                   // share of the target at which work admitted should be done
+	stormShare    = 0.25                   // how much less of the target while the wanted load is lowest
 	overShare     = 0.4                    // the same share for a customer over its share
 	stillFinish   = 0.6                    // part of the expected time a lucky run takes: below it is hopeless
 	startHold     = 4.0                    // held reqs a core before any run has been timed
@@ -69,7 +70,7 @@
 	signalStep    = 0.05                   // relative change below which the signal stays as it is
 	pressed       = 0.6                    // share of the time allowed for waiting from which load is too much
 	valueTilt     = 0.5                    // exponent of value in a line's weight: 0 none, 1 full
-	full          = 0.97                    // wanted load under which this server counts as full, not just busy
+	full          = 0.97                   // wanted load under which this server counts as full, not just busy
 	bearable      = 10 * time.Second       // client timeout where none is told
 	lapseFor      = 2 * time.Second        // a never-run forerunner is known this long: longer than any batch
 )
@@ -471,6 +472,8 @@
 	if r.crossed {
 		share, place = overShare, 1
 	}
+	// In a storm of further tries most have spent time elsewhere that is not told: ask for more room then.
+	share -= stormShare * (1 - c.open)
 	finish := r.arrived + time.Duration(share*float64(r.target-r.arrived))
 	switch {
 	case c.leaving && r.arrived > c.left+c.grace, c.stuck:
