--- a/overload/overload.go
+++ b/overload/overload.go
@@ -68,9 +68,9 @@
 	signalUp      = 1.05                   // greatest factor a tick: slower up than down
 	signalMin     = 0.05                   // least load wanted: some must come, or recovery is not seen
 	signalStep    = 0.05                   // relative change below which the signal stays as it is
-	pressed       = 0.6                    // share of the time allowed for waiting from which load is too much
+	pressed       = 0.45                   // share of the time allowed for waiting from which load is too much
 	valueTilt     = 0.5                    // exponent of value in a line's weight: 0 none, 1 full
-	full          = 0.97                   // wanted load under which this server counts as full, not just busy
+	full          = 0.9                    // wanted load under which this server counts as full, not just busy
 	bearable      = 10 * time.Second       // client timeout where none is told
 	lapseFor      = 2 * time.Second        // a never-run forerunner is known this long: longer than any batch
 )
