No call where what is left can't hold one

Also guards a slow dependency against calls that can't end in time. Could harm for a while after calls were slow: the usual time of calls fades with the next twenty.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -52,6 +52,7 @@
 	crowdSafe     = 0.85                   // of the crowd on the cores that the server survives
 	callSafe      = 0.9                    // of this server's share of the calls that the dependency survives
 	callsEach     = 4.0                    // calls in hand a core: slow ones bind no more memory than this
+	callNew       = 0.05                   // weight of one call in the usual time of calls: some twenty count
 	callLeast     = 400 * time.Millisecond // least time worth a call, lingering included
 	callTries     = 4                      // tries of one call, proved never-run each time
 	callPause     = 60 * time.Millisecond  // before the next try, times the tries so far
@@ -172,6 +173,7 @@
 	callers                   [maxCallers]float64 // recent arrivals
 	patience                  float64             // share of the client timeout after which a try is given up, 0 unknown
 	late                      float64             // recent time unread, in seconds
+	callTook                  float64             // usual time of a call, in seconds
 	inHand                    ring
 	inHandAt                  time.Duration
 }
@@ -756,6 +758,7 @@
 	}
 	if e.Outcome == OK {
 		r.callTime += now - r.calledAt
+		c.callTook += callNew * (e.Took.Seconds() - c.callTook)
 		c.set(now, r, running)
 		return
 	}
@@ -791,6 +794,9 @@
 				continue
 			}
 			keep = append(keep, r)
+		case now+seconds(stillFinish*c.callTook) > r.due-tick:
+			// Too late for the call to be of use: it would cost a read below and come to nothing.
+			c.skipOr(now, r)
 		default:
 			r.tries++
 			r.callFor = max(min(r.due-now-tick, c.mayCall(now)), time.Millisecond)
