--- a/overload/overload.go
+++ b/overload/overload.go
@@ -13,8 +13,9 @@
 //  6. leaving, cold start and stuck work: health, and the crowd and memory that the server survives
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -70,6 +71,7 @@
 	signalMin     = 0.05                   // least load wanted: some must come, or recovery is not seen
 	signalStep    = 0.05                   // relative change below which the signal stays as it is
 	pressed       = 0.45                   // share of the time allowed for waiting from which load is too much
+	hintTrust     = 0.5                    // part of a told cost that is believed: told costs are rough
 	valueTilt     = 0.5                    // exponent of value in a line's weight: 0 none, 1 full
 	full          = 0.9                    // wanted load under which this server counts as full, not just busy
 	bearable      = 10 * time.Second       // client timeout where none is told
@@ -101,9 +103,10 @@
 	h                    *handler
 	arrived, due, target time.Duration
 	size                 float64
-	crossed              bool // over its customer's share
-	fore                 *req // what it repeats
-	owed                 int  // repeats that wait for this one
+	scale                float64 // told cost over the usual of its handler
+	crossed              bool    // over its customer's share
+	fore                 *req    // what it repeats
+	owed                 int     // repeats that wait for this one
 
 	at, want              place // present and wanted place
 	out, wantOut          answer
@@ -122,11 +125,11 @@
 	timeout, target, window time.Duration
 	value, late, skip       float64
 	uniqued, once           bool
-	line                    [2][]*req // within and over the customer's share
+	line                    []*req
 	held                    int
 	pass                    float64
-	own, whole, came        ring // run time without and with calls, arrivals
-	base                    float64
+	own, whole, came, hint  ring    // run time without and with calls, arrivals, told cost
+	base                    float64 // lowest mean run time
 }
 
 type customer struct {
@@ -278,19 +281,13 @@
 	}
 	onCores := float64(c.n[running])
 	credit := time.Duration(float64(span) * c.busy * c.cores / math.Max(onCores, c.cores))
-	live := c.all[:0]
+	c.all = slices.DeleteFunc(c.all, func(r *req) bool { return r.at == over })
 	for _, r := range c.all {
-		if r.at == over {
-			continue
-		}
-		live = append(live, r)
 		if r.at == running {
 			r.cpu += credit
 		}
 		c.watch(now, r)
 	}
-	clear(c.all[len(live):])
-	c.all = live
 	c.observe(now, span)
 	c.adapt(now)
 	c.expire(now)
@@ -349,11 +346,8 @@
 			found = append(found, f)
 		}
 	}
-	sort.SliceStable(found, func(i, j int) bool {
-		if found[i].score != found[j].score {
-			return found[i].score > found[j].score
-		}
-		return found[i].elapsed > found[j].elapsed
+	slices.SortStableFunc(found, func(a, b heavy) int {
+		return cmp.Or(b.score-a.score, cmp.Compare(b.elapsed, a.elapsed))
 	})
 	budget := int(math.Min(c.ratioTokens, c.rateTokens))
 	for _, f := range found[:min(budget, len(found), dropBurst)] {
@@ -393,7 +387,7 @@
 	}
 	worst := 0.0
 	for _, h := range c.handlers {
-		room := finishBy*h.target.Seconds() - h.expected(now)
+		room := finishBy*h.target.Seconds() - h.expected(now, 1)
 		worst = math.Max(worst, (c.wait(now, h)+c.late)/math.Max(0.01, room))
 	}
 	c.late *= lateKeep
@@ -433,7 +427,7 @@
 		c.handlers = append(c.handlers, &handler{timeout: bearable, target: bearable, value: 1, once: true})
 	}
 	h := c.handlers[e.Handler]
-	r := &req{id: e.ID, h: h, arrived: now - e.Unread, size: e.Size}
+	r := &req{id: e.ID, h: h, arrived: now - e.Unread, size: e.Size, scale: 1}
 	r.due = r.arrived + h.timeout
 	if e.Left > 0 {
 		r.due = now + e.Left
@@ -466,13 +460,18 @@
 			return
 		}
 	}
+	if e.Hint > 0 {
+		h.hint.add(now, e.Hint.Seconds())
+		usual, _ := h.hint.mean(now)
+		r.scale = 1 + hintTrust*(e.Hint.Seconds()/usual-1)
+	}
 	key := 0.0
 	if h.uniqued {
 		key = c.keySize
 	}
-	wait, share, place := c.wait(now, h), finishBy, 0
+	wait, share := c.wait(now, h), finishBy
 	if r.crossed {
-		share, place = overShare, 1
+		share = overShare
 	}
 	// In a storm of further tries most have spent time elsewhere that is not told: ask for more room then.
 	share -= stormShare * (1 - c.open)
@@ -482,9 +481,9 @@
 		c.refuse(r, c.maxRetry)
 	case c.mem+key > memHold*c.memory:
 		c.refuse(r, c.maxRetry)
-	case h.expected(now) == 0 && float64(c.n[held]) > startHold*c.cores,
-		now+seconds(wait+h.expected(now)) > finish && (c.n[held] > 1 || c.n[running] > 0):
-		c.refuse(r, now+seconds(wait+h.expected(now))-finish)
+	case h.base == 0 && float64(c.n[held]) > startHold*c.cores,
+		now+seconds(wait+h.expected(now, r.scale)) > finish && (c.n[held] > 1 || c.n[running] > 0):
+		c.refuse(r, now+seconds(wait+h.expected(now, r.scale))-finish)
 	default:
 		if h.uniqued {
 			r.wantKey = r.arrived + h.window + c.batch + time.Millisecond
@@ -496,7 +495,7 @@
 		if h.held == 1 {
 			h.pass = math.Max(h.pass, c.turn)
 		}
-		h.line[place] = append(h.line[place], r)
+		h.line = append(h.line, r)
 	}
 }
 
@@ -506,11 +505,14 @@
 	return (n + 1) * math.Pow(h.value, valueTilt)
 }
 
-func (h *handler) expected(now time.Duration) float64 {
-	if m, n := h.whole.mean(now); n >= minSamples {
-		return m
+// expected is how long a run with its calls should take; what is told of a req's cost scales its own part.
+func (h *handler) expected(now time.Duration, scale float64) float64 {
+	whole, n := h.whole.mean(now)
+	if n < minSamples {
+		return h.base * scale
 	}
-	return h.base
+	own, _ := h.own.mean(now)
+	return whole + own*(scale-1)
 }
 
 // wait is how long a newcomer to this line is expected to be held, in seconds.
@@ -568,16 +570,14 @@
 
 // hopeless: even a lucky run would end after the target, and a late answer is worth little.
 func (c *Controller) hopeless(now time.Duration, r *req) bool {
-	return now+seconds(stillFinish*r.h.expected(now)) > r.target
+	return now+seconds(stillFinish*r.h.expected(now, r.scale)) > r.target
 }
 
-// next is the first of the line that still waits, those within their customer's share before the others.
+// next is the first of the line that still waits.
 func (h *handler) next() *req {
-	for i := range h.line {
-		for ; len(h.line[i]) > 0; h.line[i] = h.line[i][1:] {
-			if r := h.line[i][0]; r.want == held && r.wantOut == none && !r.gone {
-				return r
-			}
+	for ; len(h.line) > 0; h.line = h.line[1:] {
+		if r := h.line[0]; r.want == held && r.wantOut == none && !r.gone {
+			return r
 		}
 	}
 	return nil
@@ -732,16 +732,13 @@
 // ---- keys ----
 
 func (c *Controller) expire(now time.Duration) {
-	live := c.keys[:0]
-	for _, r := range c.keys {
-		if r.key > now {
-			live = append(live, r)
-		} else if r.key > 0 {
+	c.keys = slices.DeleteFunc(c.keys, func(r *req) bool {
+		if r.key > 0 && r.key <= now {
 			c.mem -= c.keySize
 			r.key, r.wantKey = 0, 0
 		}
-	}
-	c.keys = live
+		return r.key == 0
+	})
 	for id, at := range c.lapsed { // only removal: the order does not matter
 		if now-at > lapseFor {
 			delete(c.lapsed, id)
@@ -837,8 +834,7 @@
 // ---- leaving ----
 
 func (c *Controller) leave(now, left time.Duration) {
-	c.leaving, c.left, c.wantHealth = true, now, false
-	c.stop = now + left - tick - 2*c.batch
+	c.leaving, c.left, c.wantHealth, c.stop = true, now, false, now+left-tick-2*c.batch
 	for _, r := range c.all {
 		r.due = min(r.due, c.stop)
 	}
