--- a/overload/overload.go
+++ b/overload/overload.go
@@ -32,8 +32,8 @@
 	dropRatio     = 0.1                    // drops for each done req; the design's
 	dropRate      = 0.003                  // drops for each millisecond; the design's
 	dropBurst     = 10.0                   // drops in a tick, and what either budget can save; the design's
-	elapsedShare  = 0.5                    // of the client timeout: past where response targets stand, so little is lost
-	cpuShare      = 0.35                   // of the client timeout: work this long rarely ends in time once cores are short
+	elapsedShare  = 0.5                    // of the client timeout: past where response targets stand
+	cpuShare      = 0.35                   // of the client timeout: work this long rarely ends in time
 	capGrow       = 0.25                   // part of the cap added a tick while cores are free: x10 in a second
 	capSmooth     = 0.1                    // weight of one tick's latency ratio: a second to follow a change
 	capWanting    = 1.5                    // reqs wanting each core that still do not slow one another much
@@ -65,7 +65,7 @@
 	patiencePace  = 0.1                    // weight of one given-up try in a caller's patience: ten settle it
 	lateNew       = 0.1                    // weight of one arrival's time unread: some ten arrivals count
 	lateKeep      = 0.98                   // of that a tick, so that it fades where nothing comes
-	signalPace    = 0.2                    // relative change a tick of the wanted load for each unit of pressure off
+	signalPace    = 0.2                    // relative change of the wanted load a tick for a unit of pressure
 	signalDown    = 0.93                   // least factor a tick: halved in a second, as long as it is kept
 	signalUp      = 1.05                   // greatest factor a tick: slower up than down
 	signalMin     = 0.05                   // least load wanted: some must come, or recovery is not seen
@@ -174,7 +174,7 @@
 	open, sent                float64
 	health, wantHealth, told  bool
 	callers                   [maxCallers]float64 // recent arrivals
-	patience                  float64             // share of the client timeout after which a try is given up, 0 unknown
+	patience                  float64             // share of the client timeout a caller waits, 0 unknown
 	late                      float64             // recent time unread, in seconds
 	callTook                  float64             // usual time of a call, in seconds
 	inHand                    ring
@@ -598,9 +598,10 @@
 
 // ---- advice ----
 
-// refuse sheds a req that never ran, and tells the caller when to come back. While the wanted load is down others
-// are likely full too, and a further try would cost another read. Guards against storms of further tries, whatever
-// began them; harms where only this server is slow: reqs it sheds then are lost though others had room.
+// refuse sheds a req that never ran, and tells the caller when to come back. While the wanted load is down
+// others are likely full too, and a further try would cost another read. Guards against storms of further
+// tries, whatever began them; harms where only this server is slow: reqs it sheds then are lost though others
+// had room.
 func (c *Controller) refuse(r *req, after time.Duration) {
 	if c.retryAdvice {
 		spread := seconds(after.Seconds() * (0.5 + c.chance.float())) // not all back at once
@@ -680,8 +681,9 @@
 }
 
 // learn corrects the patience of callers. Where no time left is told, callers that try again give up a try
-// long before the client timeout, and work past that is lost. Given-up tries tell their patience; a done req that
-// waited longer proves more, so that single impatient clients or cancelled copies don't make all seem so.
+// long before the client timeout, and work past that is lost. Given-up tries tell their patience; a done req
+// that waited longer proves more, so that single impatient clients or cancelled copies don't make all seem
+// so.
 func (c *Controller) learn(now time.Duration, r *req, gaveUp bool) {
 	f := (now - r.arrived).Seconds() / r.h.timeout.Seconds()
 	switch p := &c.patience; {
@@ -804,10 +806,11 @@
 	c.waits = keep
 }
 
-// mayCall tells how long another call may last, 0 that there is no room for it. Guards against a dependency that
-// turns slow with all calls in hand (incident i502e29): what is in hand now may stay for its whole time-out, so that
-// is cut to what is left of this server's share of call-seconds; given-up calls linger and count. Harm: after many
-// failed calls the next ones wait for the window to pass, also where the dependency is well again.
+// mayCall tells how long another call may last, 0 that there is no room for it. Guards against a dependency
+// that turns slow with all calls in hand (incident i502e29): what is in hand now may stay for its whole
+// time-out, so that is cut to what is left of this server's share of call-seconds; given-up calls linger and
+// count. Harm: after many failed calls the next ones wait for the window to pass, also where the dependency
+// is well again.
 func (c *Controller) mayCall(now time.Duration) time.Duration {
 	hand := float64(c.n[calling] + 1)
 	if hand > math.Min(callsEach*c.cores, c.crowd(now)) {
