Due times are looked at each 25 ms; a try too short for that is answered at once

Looks are now four a tick, and what is due before the next one is answered when it is read (traces: due, leave). A repeat that joined a forerunner unknown here counts as run, so that a repeat of it never runs (trace: repeats).

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -22,6 +22,7 @@
 const (
 	// The design's values.
 	tick          = 100 * time.Millisecond // between observations; the design's
+	look          = 25 * time.Millisecond  // between looks at due times: short of any slack, four a tick
 	breaches      = 3                      // ticks in a row over a threshold before duress; the design's
 	busyLimit     = 0.9                    // busy share of the cores that counts as a breach; the design's
 	memLimit      = 0.7                    // share of memory held by reqs that counts as a breach; the design's
@@ -80,6 +81,8 @@
 
 type place uint8
 
+const none = ActionKind(0) // no final answer
+
 const (
 	held place = iota
 	joined
@@ -90,14 +93,6 @@
 	places
 )
 
-type answer uint8
-
-const (
-	none answer = iota
-	shed
-	errored
-)
-
 type req struct {
 	id                   uint64
 	h                    *handler
@@ -108,8 +103,8 @@
 	fore                 *req    // what it repeats
 	owed                 int     // repeats that wait for this one
 
-	at, want              place // present and wanted place
-	out, wantOut          answer
+	at, want              place         // present and wanted place
+	out, wantOut          ActionKind    // final answer given and wanted: Shed, Error or none
 	key, wantKey          time.Duration // remembered until
 	ran, touched          bool
 	started, callTime     time.Duration
@@ -161,31 +156,31 @@
 	left, stop                                  time.Duration // the notice, and when the process stops
 	leaving                                     bool
 
-	mem                       float64
-	cap, turn                 float64
-	hot                       int
-	duress                    bool
-	ratioTokens, rateTokens   float64
-	done                      [memWindow]float64
-	doneN                     int
-	busy, runnable, wanting   float64
-	progress, lastTick, timer time.Duration
-	stuck                     bool
-	open, sent                float64
-	health, wantHealth, told  bool
-	callers                   [maxCallers]float64 // recent arrivals
-	patience                  float64             // share of the client timeout a caller waits, 0 unknown
-	late                      float64             // recent time unread, in seconds
-	callTook                  float64             // usual time of a call, in seconds
-	inHand                    ring
-	inHandAt                  time.Duration
+	mem                      float64
+	cap, turn                float64
+	hot                      int
+	duress                   bool
+	ratioTokens, rateTokens  float64
+	done                     [memWindow]float64
+	doneN                    int
+	busy, runnable, wanting  float64
+	progress, lastTick       time.Duration
+	stuck, armed             bool
+	open, sent               float64
+	health, wantHealth, told bool
+	callers                  [maxCallers]float64 // recent arrivals
+	patience                 float64             // share of the client timeout a caller waits, 0 unknown
+	late                     float64             // recent time unread, in seconds
+	callTook                 float64             // usual time of a call, in seconds
+	inHand                   ring
+	inHandAt                 time.Duration
 }
 
 // New returns the controller of a server that has just come up.
 func New(seed uint64, settings map[string]any, now time.Duration) *Controller {
 	b, rules := get[map[string]any](settings, "backend", nil), get[map[string]any](settings, "rules", nil)
 	c := &Controller{reqs: map[uint64]*req{}, lapsed: map[uint64]time.Duration{}, started: now, progress: now,
-		lastTick: now, timer: now, inHandAt: now, open: 1, wantHealth: true, gBusy: -1, gRunnable: -1}
+		lastTick: now, inHandAt: now, open: 1, wantHealth: true, gBusy: -1, gRunnable: -1}
 	c.chance.seed(seed)
 	c.cores, c.memory = math.Max(1, get(b, "cores", 1.0)), get(b, "memory", math.Inf(1))
 	c.runFactor, c.keySize = math.Max(1, get(b, "run_factor", 1.0)), get(b, "key_size", 0.0)
@@ -239,10 +234,13 @@
 		case e.Kind == Arrived:
 			c.arrive(now, e)
 		case e.Kind == Timer:
-			c.timer = now // the one that was wanted has come
-			if now-c.lastTick >= tick/2 {
+			c.armed = false
+			if now-c.lastTick >= tick {
 				c.onTick(now, e.Gauges)
 			}
+			for _, r := range c.all {
+				c.watch(now, r)
+			}
 		case e.Kind == Leave:
 			c.leave(now, e.Left)
 		case r == nil: // late news of a req already ended
@@ -286,7 +284,6 @@
 		if r.at == running {
 			r.cpu += credit
 		}
-		c.watch(now, r)
 	}
 	c.observe(now, span)
 	c.adapt(now)
@@ -328,7 +325,7 @@
 		average += m / float64(count)
 	}
 	for _, r := range c.all {
-		if r.want < running || r.want == over || r.out != none || r.wantOut != none || r.gone {
+		if r.want < running || !r.owing() {
 			continue
 		}
 		f := heavy{r: r, elapsed: now - r.started}
@@ -353,7 +350,7 @@
 	for _, f := range found[:min(budget, len(found), dropBurst)] {
 		c.ratioTokens--
 		c.rateTokens--
-		c.giveUp(f.r, errored)
+		c.giveUp(f.r)
 	}
 }
 
@@ -452,10 +449,11 @@
 		r.crossed = !c.customers[e.Customer].take(now)
 	}
 	if e.RepeatOf != 0 && !h.once {
-		if _, never := c.lapsed[e.RepeatOf]; !never {
+		if _, never := c.lapsed[e.RepeatOf]; !never && r.due-now > look+2*c.batch {
 			if r.fore = c.reqs[e.RepeatOf]; r.fore != nil {
 				r.fore.owed++
 			}
+			r.ran = r.fore == nil // it may have run: repeats of this one must not run
 			c.move(now, r, joined)
 			return
 		}
@@ -477,6 +475,8 @@
 	share -= stormShare * (1 - c.open)
 	finish := r.arrived + time.Duration(share*float64(r.target-r.arrived))
 	switch {
+	case r.due-now <= look+2*c.batch: // by the next look it may be too late
+		c.giveUp(r)
 	case c.leaving && r.arrived > c.left+c.grace, c.stuck:
 		c.refuse(r, c.maxRetry)
 	case c.mem+key > memHold*c.memory:
@@ -576,7 +576,7 @@
 // next is the first of the line that still waits.
 func (h *handler) next() *req {
 	for ; len(h.line) > 0; h.line = h.line[1:] {
-		if r := h.line[0]; r.want == held && r.wantOut == none && !r.gone {
+		if r := h.line[0]; r.want == held && r.owing() {
 			return r
 		}
 	}
@@ -608,7 +608,7 @@
 		r.retryAfter = min(max(spread, minRetryAfter), c.maxRetry)
 	}
 	r.dontRetry = !c.leaving && !c.stuck && c.open < full
-	c.giveUp(r, shed)
+	c.giveUp(r)
 }
 
 // wantedSignal is the value that should ride on answers, in the meaning the settings give.
@@ -640,32 +640,35 @@
 		r.stopSent = 0 // the stop had no effect, as while the cores stand still
 		c.touch(r)
 	}
-	if r.out != none || r.wantOut != none || r.gone {
+	if !r.owing() {
 		return
 	}
 	late := now > r.target && r.h.late == 0
 	switch {
-	case r.due-now <= tick+2*c.batch:
-		c.giveUp(r, errored)
+	case r.due-now <= look+2*c.batch:
+		c.giveUp(r)
 	case r.want == held && (late || c.hopeless(now, r)):
 		c.refuse(r, minRetryAfter)
 	case late && (r.want == waiting || r.want == running && c.duress && c.n[held] > 0):
-		c.giveUp(r, errored)
+		c.giveUp(r)
 	}
 }
 
 // giveUp answers a req at once; what still runs of it is stopped.
-func (c *Controller) giveUp(r *req, how answer) {
-	if r.out != none || r.wantOut != none || r.gone {
+func (c *Controller) giveUp(r *req) {
+	if !r.owing() {
 		return
 	}
-	if r.want != held {
-		how = errored
+	r.wantOut, r.quit = Error, true
+	if r.want == held {
+		r.wantOut = Shed
 	}
-	r.wantOut, r.quit = how, true
 	c.touch(r)
 }
 
+// owing tells whether a final answer is still to be decided.
+func (r *req) owing() bool { return r.at != over && r.out == none && r.wantOut == none && !r.gone }
+
 func (c *Controller) goneAway(now time.Duration, r *req) {
 	r.gone = true
 	if r.out == none && !r.h.once && !r.h.uniqued {
@@ -778,7 +781,7 @@
 		c.move(now, r, running)
 		return
 	}
-	c.giveUp(r, errored)
+	c.giveUp(r)
 }
 
 // fillCalls lets waiting reqs call, oldest first, within the bound in hand and this server's share.
@@ -786,19 +789,19 @@
 	keep := c.waits[:0]
 	for _, r := range c.waits {
 		switch {
-		case r.at != waiting || r.wantOut != none || r.out != none || r.gone:
+		case r.at != waiting || !r.owing():
 		case r.callAgain > now || c.mayCall(now) == 0:
 			if r.h.skip > 0 && c.hopeless(now, r) {
 				c.skipOr(now, r)
 				continue
 			}
 			keep = append(keep, r)
-		case now+seconds(stillFinish*c.callTook) > r.due-tick:
+		case now+seconds(stillFinish*c.callTook) > r.due:
 			// Too late for the call to be of use: it would cost a read below and come to nothing.
 			c.skipOr(now, r)
 		default:
 			r.tries++
-			r.callFor = max(min(r.due-now-tick, c.mayCall(now)), time.Millisecond)
+			r.callFor = max(min(r.due-now, c.mayCall(now)), time.Millisecond)
 			c.move(now, r, calling)
 		}
 	}
@@ -837,9 +840,10 @@
 // ---- leaving ----
 
 func (c *Controller) leave(now, left time.Duration) {
-	c.leaving, c.left, c.wantHealth, c.stop = true, now, false, now+left-tick-2*c.batch
+	c.leaving, c.left, c.wantHealth, c.stop = true, now, false, now+left-look-2*c.batch
 	for _, r := range c.all {
 		r.due = min(r.due, c.stop)
+		c.watch(now, r)
 	}
 }
 
@@ -894,11 +898,7 @@
 		r.touched = false
 		if r.wantOut != none && r.out == none {
 			r.out = r.wantOut
-			if r.out == shed {
-				out = append(out, Action{Kind: Shed, ID: r.id, RetryAfter: r.retryAfter, DontRetry: r.dontRetry})
-			} else {
-				out = append(out, Action{Kind: Error, ID: r.id})
-			}
+			out = append(out, Action{Kind: r.out, ID: r.id, RetryAfter: r.retryAfter, DontRetry: r.dontRetry})
 			if r.at == held || r.at == joined {
 				c.finish(now, r)
 			}
@@ -925,7 +925,7 @@
 		case from == waiting && r.want == running:
 			out = append(out, Action{Kind: Skip, ID: r.id})
 		case from == waiting && r.quit && r.out == none:
-			r.out = errored // nothing is owed, but the run is to end
+			r.out = Error // nothing is owed, but the run is to end
 			out = append(out, Action{Kind: Error, ID: r.id})
 		}
 		r.at = r.want
@@ -945,9 +945,9 @@
 			out = append(out, Action{Kind: Signal, Value: v})
 		}
 	}
-	if c.timer <= now {
-		c.timer = now + tick
-		out = append(out, Action{Kind: Wake, At: c.timer})
+	if !c.armed {
+		c.armed = true
+		out = append(out, Action{Kind: Wake, At: now + look})
 	}
 	c.actions = out
 	return out
