Fewer calls in hand while a shared dependency is slow

Also covers a dependency crowded by others; could harm where call times differ by nature over a factor of four.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -55,6 +55,8 @@
 	callSafe      = 0.9                    // of this server's share of the calls that the dependency survives
 	callsEach     = 4.0                    // calls in hand a core: slow ones bind no more memory than this
 	callNew       = 0.05                   // weight of one call in the usual time of calls: some twenty count
+	callSlow      = 4.0                    // times the least time of calls from which fewer are made
+	callDown      = 0.9                    // factor a tick on calls in hand then: halved in less than a second
 	callLeast     = 400 * time.Millisecond // least time worth a call, lingering included
 	callTries     = 4                      // tries of one call, proved never-run each time
 	callPause     = 60 * time.Millisecond  // before the next try, times the tries so far
@@ -156,24 +158,24 @@
 	left, stop                                  time.Duration // the notice, and when the process stops
 	leaving                                     bool
 
-	mem                      float64
-	cap, turn                float64
-	hot                      int
-	duress                   bool
-	ratioTokens, rateTokens  float64
-	done                     [memWindow]float64
-	doneN                    int
-	busy, runnable, wanting  float64
-	progress, lastTick       time.Duration
-	stuck, armed             bool
-	open, sent               float64
-	health, wantHealth, told bool
-	callers                  [maxCallers]float64 // recent arrivals
-	patience                 float64             // share of the client timeout a caller waits, 0 unknown
-	late                     float64             // recent time unread, in seconds
-	callTook                 float64             // usual time of a call, in seconds
-	inHand                   ring
-	inHandAt                 time.Duration
+	mem                         float64
+	cap, turn                   float64
+	hot                         int
+	duress                      bool
+	ratioTokens, rateTokens     float64
+	done                        [memWindow]float64
+	doneN                       int
+	busy, runnable, wanting     float64
+	progress, lastTick          time.Duration
+	stuck, armed                bool
+	open, sent                  float64
+	health, wantHealth, told    bool
+	callers                     [maxCallers]float64 // recent arrivals
+	patience                    float64             // share of the client timeout a caller waits, 0 unknown
+	late                        float64             // recent time unread, in seconds
+	callTook, callBase, callCap float64             // usual and least call time in seconds; bound in hand
+	inHand                      ring
+	inHandAt                    time.Duration
 }
 
 // New returns the controller of a server that has just come up.
@@ -220,7 +222,7 @@
 		rate := get(m, "quota_per_s", 0.0) / servers * shareSlack
 		c.customers = append(c.customers, &customer{rate: rate, tokens: rate * shareBurst, filled: now})
 	}
-	c.cap = c.cores
+	c.cap, c.callCap = c.cores, c.cores*callsEach
 	c.ratioTokens, c.rateTokens = dropBurst, dropBurst
 	return c
 }
@@ -358,11 +360,7 @@
 func (c *Controller) adapt(now time.Duration) {
 	for _, h := range c.handlers {
 		if m, n := h.own.mean(now); n >= minSamples {
-			if h.base == 0 || m < h.base {
-				h.base = m
-			} else {
-				h.base *= baseForget
-			}
+			h.base = math.Min(cmp.Or(h.base*baseForget, m), m)
 		}
 	}
 	// Where reqs mostly wait for disk their latency hides how crowded the cores are; what wants a core tells.
@@ -377,6 +375,14 @@
 	}
 	c.cap = math.Max(c.cores, math.Min(c.cap, c.crowd(now)))
 
+	// A dependency slows down long before it falls: fewer in hand while calls take far too long.
+	c.callBase = math.Min(cmp.Or(c.callBase*baseForget, c.callTook), c.callTook)
+	if c.callTook > callSlow*c.callBase {
+		c.callCap = math.Max(1, c.callCap*callDown)
+	} else {
+		c.callCap = math.Min(c.callCap+1, c.cores*callsEach)
+	}
+
 	// The wanted load follows how full the time for waiting is, slowly: callers that all turn away at once
 	// all come back at once.
 	for i := range c.callers {
@@ -517,18 +523,14 @@
 
 // wait is how long a newcomer to this line is expected to be held, in seconds.
 func (c *Controller) wait(now time.Duration, h *handler) float64 {
-	all, work := 0.0, 0.0
+	work := 0.0
 	for _, o := range c.handlers {
-		if o.held == 0 && o != h {
-			continue
-		}
-		w := o.weight(now)
-		own, n := o.own.mean(now)
-		if n < minSamples {
-			own = o.base
+		if own, n := o.own.mean(now); o.held > 0 || o == h {
+			if n < minSamples {
+				own = o.base
+			}
+			work += o.weight(now) * own
 		}
-		all += w
-		work += w * own
 	}
 	if h.held == 0 || float64(c.n[held]) <= c.cap-float64(c.n[running]) {
 		return 0
@@ -674,10 +676,9 @@
 	if r.out == none && !r.h.once && !r.h.uniqued {
 		c.learn(now, r, true)
 	}
-	switch {
-	case r.at == held || r.at == joined:
+	if r.at == held || r.at == joined {
 		c.finish(now, r)
-	case !r.h.uniqued: // a uniqued one works on: its repeat is answered from it
+	} else if !r.h.uniqued { // a uniqued one works on: its repeat is answered from it
 		r.quit = true
 		c.touch(r)
 	}
@@ -685,15 +686,12 @@
 
 // learn corrects the patience of callers. Where no time left is told, callers that try again give up a try
 // long before the client timeout, and work past that is lost. Given-up tries tell their patience; a done req
-// that waited longer proves more, so that single impatient clients or cancelled copies don't make all seem
-// so.
+// that waited longer proves more, lest single impatient clients or cancelled copies make all seem so.
 func (c *Controller) learn(now time.Duration, r *req, gaveUp bool) {
 	f := (now - r.arrived).Seconds() / r.h.timeout.Seconds()
-	switch p := &c.patience; {
-	case *p == 0 && gaveUp:
-		*p = f
-	case gaveUp || *p > 0 && f > *p:
-		*p += patiencePace * (f - *p)
+	if gaveUp || c.patience > 0 && f > c.patience {
+		c.patience += patiencePace * (f - cmp.Or(c.patience, f))
+		c.patience = cmp.Or(c.patience, f)
 	}
 }
 
@@ -760,6 +758,7 @@
 	}
 	if e.Outcome == OK {
 		r.callTime += now - r.calledAt
+		c.callTook = cmp.Or(c.callTook, e.Took.Seconds())
 		c.callTook += callNew * (e.Took.Seconds() - c.callTook)
 		c.set(now, r, running)
 		return
@@ -825,7 +824,7 @@
 	c.tally(now)
 	used, _ := c.inHand.sum(now)
 	left := seconds((callSafe*c.share*math.Min(c.callsOver.Seconds(), 9*bucket.Seconds()) - used) / hand)
-	if hand > math.Max(1, callSafe*c.share) || left < callLeast {
+	if hand > math.Max(1, math.Min(c.callCap, callSafe*c.share)) || left < callLeast {
 		return 0
 	}
 	return left - c.linger
