A cold server wants load by its warmth at most

Covers every start. Could harm where a whole fleet starts at once: callers then refuse. One memory bound in place of two.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -49,8 +49,7 @@
 	startHold     = 4.0                    // held reqs a core before any run has been timed
 	shareSlack    = 1.25                   // customers' shares are for the fleet; so much spread is normal
 	shareBurst    = 2.0                    // seconds of a customer's share that may come at once
-	memSafe       = 0.92                   // of memory that running may fill; the rest is for reqs being read
-	memHold       = 0.96                   // of memory past which newcomers are shed
+	memHold       = 0.93                   // of memory that decisions may fill; the rest is for reqs being read
 	crowdSafe     = 0.85                   // of the crowd on the cores that the server survives
 	callSafe      = 0.9                    // of this server's share of the calls that the dependency survives
 	callsEach     = 4.0                    // calls in hand a core: slow ones bind no more memory than this
@@ -395,7 +394,7 @@
 	}
 	c.late *= lateKeep
 	c.open *= math.Max(signalDown, math.Min(signalUp, 1+signalPace*(pressed-worst)))
-	c.open = math.Max(signalMin, math.Min(1, c.open))
+	c.open = math.Max(signalMin, math.Min(c.warmth(now), c.open))
 }
 
 // pace is base latency over recent latency, over all handlers, 1 at the usual pace.
@@ -413,13 +412,17 @@
 	return base / recent
 }
 
-// crowd is how many reqs may be in progress so that the cores survive all of them at once, cold or warm.
-func (c *Controller) crowd(now time.Duration) float64 {
-	speed := 1.0
+// warmth is the least share of full speed that this server has, as the settings promise it.
+func (c *Controller) warmth(now time.Duration) float64 {
 	if age := now - c.started; c.cold && age < c.coldFor {
-		speed = c.coldFrom + (1-c.coldFrom)*age.Seconds()/c.coldFor.Seconds()
+		return c.coldFrom + (1-c.coldFrom)*age.Seconds()/c.coldFor.Seconds()
 	}
-	return math.Max(1, crowdSafe*c.cores*(1+(c.fall-1)*speed))
+	return 1
+}
+
+// crowd is how many reqs may be in progress so that the cores survive all of them at once, cold or warm.
+func (c *Controller) crowd(now time.Duration) float64 {
+	return math.Max(1, crowdSafe*c.cores*(1+(c.fall-1)*c.warmth(now)))
 }
 
 // ---- lines ----
@@ -555,7 +558,7 @@
 			return
 		}
 		r := best.next()
-		tooBig := c.mem+r.size*(c.runFactor-1) > memSafe*c.memory
+		tooBig := c.mem+r.size*(c.runFactor-1) > memHold*c.memory
 		if tooBig && inside > 0 {
 			return // what runs will free some
 		}
@@ -586,12 +589,9 @@
 }
 
 func (u *customer) take(now time.Duration) bool {
-	if u.rate <= 0 {
-		return true
-	}
 	u.tokens = math.Min(u.rate*shareBurst, u.tokens+u.rate*(now-u.filled).Seconds())
 	u.filled = now
-	if u.tokens < 1 {
+	if u.tokens < 1 && u.rate > 0 {
 		return false
 	}
 	u.tokens--
@@ -795,7 +795,8 @@
 				continue
 			}
 			keep = append(keep, r)
-		case now+seconds(stillFinish*c.callTook) > r.due:
+		case h.base == 0 && float64(c.n[held]) > startHold*c.cores,
+			now+seconds(stillFinish*c.callTook) > r.due:
 			// Too late for the call to be of use: it would cost a read below and come to nothing.
 			c.skipOr(now, r)
 		default:
