--- a/overload/overload.go
+++ b/overload/overload.go
@@ -795,8 +795,7 @@
 				continue
 			}
 			keep = append(keep, r)
-		case h.base == 0 && float64(c.n[held]) > startHold*c.cores,
-			now+seconds(stillFinish*c.callTook) > r.due:
+		case now+seconds(stillFinish*c.callTook) > r.due:
 			// Too late for the call to be of use: it would cost a read below and come to nothing.
 			c.skipOr(now, r)
 		default:
