--- a/overload/trace_test.go
+++ b/overload/trace_test.go
@@ -106,6 +106,13 @@
 }
 
 func value(s string) any {
+	if strings.Contains(s, ",") {
+		var all []any
+		for _, part := range strings.Split(s, ",") {
+			all = append(all, value(part))
+		}
+		return all
+	}
 	if d, err := time.ParseDuration(s); err == nil && s != "0" {
 		return d
 	}
@@ -170,7 +177,10 @@
 func printed(a Action) string {
 	switch a.Kind {
 	case Shed:
-		s := fmt.Sprintf("shed %d come back in %v", a.ID, a.RetryAfter.Round(time.Millisecond))
+		s := fmt.Sprintf("shed %d", a.ID)
+		if a.RetryAfter > 0 {
+			s += fmt.Sprintf(" come back in %v", a.RetryAfter.Round(time.Millisecond))
+		}
 		if a.DontRetry {
 			s += ", not elsewhere"
 		}
