--- a/overload/overload.go
+++ b/overload/overload.go
@@ -645,7 +645,7 @@
 	if !r.owing() {
 		return
 	}
-	late := now > r.arrived+r.h.target && r.h.late == 0 // not by patience, which is a guess: what runs may still count
+	late := now > r.arrived+r.h.target && r.h.late == 0 // patience is only a guess
 	switch {
 	case r.due-now <= look+2*c.batch:
 		c.giveUp(r)
