Calls to a dependency with a long linger keep a sensible time-out

Found by reading: with a linger over 0.4 s the time-out left of the share would have been one millisecond. Also a customer's number below nothing is borne.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -56,7 +56,7 @@
 	callNew       = 0.05                   // weight of one call in the usual time of calls: some twenty count
 	callSlow      = 4.0                    // times the least time of calls from which fewer are made
 	callDown      = 0.9                    // factor a tick on calls in hand then: halved in less than a second
-	callLeast     = 400 * time.Millisecond // least time worth a call, lingering included
+	callLeast     = 200 * time.Millisecond // least time-out worth a call to a shared dependency
 	callTries     = 4                      // tries of one call, proved never-run each time
 	callPause     = 60 * time.Millisecond  // before the next try, times the tries so far
 	stuckAfter    = 2 * time.Second        // no progress of running work for this long: it hangs
@@ -454,7 +454,7 @@
 	h.came.add(now, 1)
 	c.late += lateNew * (e.Unread.Seconds() - c.late)
 	c.callers[uint(e.Caller)%maxCallers]++
-	if e.Customer < len(c.customers) {
+	if e.Customer >= 0 && e.Customer < len(c.customers) {
 		r.crossed = !c.customers[e.Customer].take(now)
 	}
 	if e.RepeatOf != 0 && !h.once {
@@ -824,7 +824,7 @@
 	c.tally(now)
 	used, _ := c.inHand.sum(now)
 	left := seconds((callSafe*c.share*math.Min(c.callsOver.Seconds(), 9*bucket.Seconds()) - used) / hand)
-	if hand > math.Max(1, math.Min(c.callCap, callSafe*c.share)) || left < callLeast {
+	if hand > math.Max(1, math.Min(c.callCap, callSafe*c.share)) || left < callLeast+c.linger {
 		return 0
 	}
 	return left - c.linger
