Say each check of the module once; no action changes

Read through: the test whether a req is due before the next look stood three times, the one for replayable handlers three, the expected end of a newcomer was worked out twice, room for a call (and its tally) twice for each call made, the crowd three times for each req started, and the wait of a line before asking whether there is any. Each is said or done once now. Health follows from leaving and stuck, a req's share of its target need not be kept, and a second touch was dead.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -100,7 +100,6 @@
 	arrived, due, target time.Duration
 	size                 float64
 	scale                float64 // told cost over the usual of its handler
-	crossed              bool    // over its customer's share
 	fore                 *req    // what it repeats
 	owed                 int     // repeats that wait for this one
 
@@ -128,6 +127,8 @@
 	base                    float64 // lowest mean run time
 }
 
+func (h *handler) replayable() bool { return !h.once && !h.uniqued }
+
 type customer struct {
 	rate, tokens float64
 	filled       time.Duration
@@ -168,7 +169,7 @@
 	progress, lastTick          time.Duration
 	stuck, armed                bool
 	open, sent                  float64
-	health, wantHealth, told    bool
+	health, told                bool
 	callers                     [maxCallers]float64 // recent arrivals
 	patience                    float64             // share of the client timeout a caller waits, 0 unknown
 	late                        float64             // recent time unread, in seconds
@@ -181,7 +182,7 @@
 func New(seed uint64, settings map[string]any, now time.Duration) *Controller {
 	b, rules := get[map[string]any](settings, "backend", nil), get[map[string]any](settings, "rules", nil)
 	c := &Controller{reqs: map[uint64]*req{}, lapsed: map[uint64]time.Duration{}, started: now, progress: now,
-		lastTick: now, inHandAt: now, open: 1, wantHealth: true, gBusy: -1, gRunnable: -1}
+		lastTick: now, inHandAt: now, open: 1, gBusy: -1, gRunnable: -1}
 	c.chance.seed(seed)
 	c.cores, c.memory = math.Max(1, get(b, "cores", 1.0)), get(b, "memory", math.Inf(1))
 	c.runFactor, c.keySize = math.Max(1, get(b, "run_factor", 1.0)), get(b, "key_size", 0.0)
@@ -254,7 +255,6 @@
 			r.calledAt, r.tries, r.callAgain = now, 0, now
 			c.set(now, r, waiting)
 			c.waits = append(c.waits, r)
-			c.touch(r)
 		case e.Kind == CallEnded:
 			c.callEnded(now, r, e)
 		}
@@ -278,8 +278,7 @@
 			c.runnable = g
 		}
 	}
-	onCores := float64(c.n[running])
-	credit := time.Duration(float64(span) * c.busy * c.cores / math.Max(onCores, c.cores))
+	credit := time.Duration(float64(span) * c.busy * c.cores / math.Max(float64(c.n[running]), c.cores))
 	c.all = slices.DeleteFunc(c.all, func(r *req) bool { return r.at == over })
 	for _, r := range c.all {
 		if r.at == running {
@@ -295,7 +294,6 @@
 		c.progress = max(c.progress, now-tick)
 	}
 	c.stuck = now-c.progress > stuckAfter
-	c.wantHealth = !c.leaving && !c.stuck
 }
 
 func (c *Controller) observe(now, span time.Duration) {
@@ -336,7 +334,7 @@
 		if r.cpu >= time.Duration(cpuShare*float64(r.h.timeout)) {
 			f.score++
 		}
-		mem := r.size * c.runFactor
+		mem := c.weigh(r, running)
 		if all >= memAll*c.memory && count == memWindow && mem >= memEach*c.memory && mem >= memOver*average {
 			f.score++
 		}
@@ -440,7 +438,7 @@
 	}
 	r.due = max(r.due, now)
 	r.target = min(r.arrived+h.target, r.due)
-	if e.Left == 0 && c.patience > 0 && !h.once && !h.uniqued {
+	if e.Left == 0 && c.patience > 0 && h.replayable() {
 		r.target = min(r.target, r.arrived+time.Duration(c.patience*float64(h.timeout)))
 	}
 	if c.leaving {
@@ -454,11 +452,12 @@
 	h.came.add(now, 1)
 	c.late += lateNew * (e.Unread.Seconds() - c.late)
 	c.callers[uint(e.Caller)%maxCallers]++
-	if e.Customer >= 0 && e.Customer < len(c.customers) {
-		r.crossed = !c.customers[e.Customer].take(now)
+	share := finishBy
+	if e.Customer >= 0 && e.Customer < len(c.customers) && !c.customers[e.Customer].take(now) {
+		share = overShare
 	}
 	if e.RepeatOf != 0 && !h.once {
-		if _, never := c.lapsed[e.RepeatOf]; !never && r.due-now > look+2*c.batch {
+		if _, never := c.lapsed[e.RepeatOf]; !never && !c.dueNow(now, r) {
 			if r.fore = c.reqs[e.RepeatOf]; r.fore != nil {
 				r.fore.owed++
 			}
@@ -476,23 +475,18 @@
 	if h.uniqued {
 		key = c.keySize
 	}
-	wait, share := c.wait(now, h), finishBy
-	if r.crossed {
-		share = overShare
-	}
 	// In a storm of further tries most have spent time elsewhere that is not told: ask for more room then.
 	share -= stormShare * (1 - c.open)
+	end := now + seconds(c.wait(now, h)+h.expected(now, r.scale))
 	finish := r.arrived + time.Duration(share*float64(r.target-r.arrived))
 	switch {
-	case r.due-now <= look+2*c.batch: // by the next look it may be too late
+	case c.dueNow(now, r):
 		c.giveUp(r)
-	case c.leaving && r.arrived > c.left+c.grace, c.stuck:
-		c.refuse(r, c.maxRetry)
-	case c.mem+key > memHold*c.memory:
+	case c.leaving && r.arrived > c.left+c.grace, c.stuck, c.mem+key > memHold*c.memory:
 		c.refuse(r, c.maxRetry)
 	case h.base == 0 && float64(c.n[held]) > startHold*c.cores,
-		now+seconds(wait+h.expected(now, r.scale)) > finish && (c.n[held] > 1 || c.n[running] > 0):
-		c.refuse(r, now+seconds(wait+h.expected(now, r.scale))-finish)
+		end > finish && (c.n[held] > 1 || c.n[running] > 0):
+		c.refuse(r, end-finish)
 	default:
 		if h.uniqued {
 			r.wantKey = r.arrived + h.window + c.batch + time.Millisecond
@@ -514,38 +508,43 @@
 	return (n + 1) * math.Pow(h.value, valueTilt)
 }
 
+// runTime is how long a run takes of late, without its calls.
+func (h *handler) runTime(now time.Duration) float64 {
+	if m, n := h.own.mean(now); n >= minSamples {
+		return m
+	}
+	return h.base
+}
+
 // expected is how long a run with its calls should take; what is told of a req's cost scales its own part.
 func (h *handler) expected(now time.Duration, scale float64) float64 {
-	whole, n := h.whole.mean(now)
-	if n < minSamples {
-		return h.base * scale
+	own := h.runTime(now)
+	if whole, n := h.whole.mean(now); n >= minSamples {
+		return whole + own*(scale-1)
 	}
-	own, _ := h.own.mean(now)
-	return whole + own*(scale-1)
+	return own * scale
 }
 
 // wait is how long a newcomer to this line is expected to be held, in seconds.
 func (c *Controller) wait(now time.Duration, h *handler) float64 {
+	if h.held == 0 || float64(c.n[held]) <= c.cap-float64(c.n[running]) {
+		return 0
+	}
 	work := 0.0
 	for _, o := range c.handlers {
-		if own, n := o.own.mean(now); o.held > 0 || o == h {
-			if n < minSamples {
-				own = o.base
-			}
-			work += o.weight(now) * own
+		if o.held > 0 {
+			work += o.weight(now) * o.runTime(now)
 		}
 	}
-	if h.held == 0 || float64(c.n[held]) <= c.cap-float64(c.n[running]) {
-		return 0
-	}
 	return float64(h.held) * work / (c.cap * h.weight(now))
 }
 
 // fill starts held reqs while the cap, the crowd and the memory allow.
 func (c *Controller) fill(now time.Duration) {
+	crowd := c.crowd(now)
 	for c.n[held] > 0 && !c.stuck {
 		inside := float64(c.n[running] + c.n[waiting] + c.n[calling])
-		if float64(c.n[running]) >= c.cap || inside >= c.crowd(now) || c.runnable >= c.crowd(now) {
+		if float64(c.n[running]) >= c.cap || inside >= crowd || c.runnable >= crowd {
 			return
 		}
 		var best *handler
@@ -636,6 +635,9 @@
 
 // ---- watch ----
 
+// dueNow: by the next look it may be too late to answer.
+func (c *Controller) dueNow(now time.Duration, r *req) bool { return r.due-now <= look+2*c.batch }
+
 // watch keeps the due time of every req, and gives up at once what can earn nothing any more.
 func (c *Controller) watch(now time.Duration, r *req) {
 	if r.stopSent > 0 && r.at == running && now-r.stopSent >= stopAgain {
@@ -647,7 +649,7 @@
 	}
 	late := now > r.arrived+r.h.target && r.h.late == 0 // patience is only a guess
 	switch {
-	case r.due-now <= look+2*c.batch:
+	case c.dueNow(now, r):
 		c.giveUp(r)
 	case r.want == held && (late || c.hopeless(now, r)):
 		c.refuse(r, minRetryAfter)
@@ -673,7 +675,7 @@
 
 func (c *Controller) goneAway(now time.Duration, r *req) {
 	r.gone = true
-	if r.out == none && !r.h.once && !r.h.uniqued {
+	if r.out == none && r.h.replayable() {
 		c.learn(now, r, true)
 	}
 	if r.at == held || r.at == joined {
@@ -701,7 +703,7 @@
 	}
 	if e.Outcome == OK && r.at == running {
 		c.ratioTokens = math.Min(dropBurst, c.ratioTokens+dropRatio)
-		c.done[c.doneN%memWindow] = r.size * c.runFactor
+		c.done[c.doneN%memWindow] = c.weigh(r, running)
 		c.doneN++
 		c.learn(now, r, false)
 	}
@@ -787,9 +789,11 @@
 func (c *Controller) fillCalls(now time.Duration) {
 	keep := c.waits[:0]
 	for _, r := range c.waits {
-		switch {
-		case r.at != waiting || !r.owing():
-		case r.callAgain > now || c.mayCall(now) == 0:
+		if r.at != waiting || !r.owing() {
+			continue
+		}
+		switch room := c.mayCall(now, r); {
+		case room == 0:
 			if r.h.skip > 0 && c.hopeless(now, r) {
 				c.skipOr(now, r)
 				continue
@@ -800,7 +804,7 @@
 			c.skipOr(now, r)
 		default:
 			r.tries++
-			r.callFor = max(min(r.due-now, c.mayCall(now)), time.Millisecond)
+			r.callFor = max(min(r.due-now, room), time.Millisecond)
 			c.move(now, r, calling)
 		}
 	}
@@ -808,14 +812,14 @@
 	c.waits = keep
 }
 
-// mayCall tells how long another call may last, 0 that there is no room for it. Guards against a dependency
+// mayCall tells how long a call of this req may last, 0 that it has to wait. Guards against a dependency
 // that turns slow with all calls in hand (incident i502e29): what is in hand now may stay for its whole
 // time-out, so that is cut to what is left of this server's share of call-seconds; given-up calls linger and
 // count. Harm: after many failed calls the next ones wait for the window to pass, also where the dependency
 // is well again.
-func (c *Controller) mayCall(now time.Duration) time.Duration {
+func (c *Controller) mayCall(now time.Duration, r *req) time.Duration {
 	hand := float64(c.n[calling] + 1)
-	if hand > math.Min(callsEach*c.cores, c.crowd(now)) {
+	if r.callAgain > now || hand > math.Min(callsEach*c.cores, c.crowd(now)) {
 		return 0
 	}
 	if c.below != "shared" || c.share <= 0 {
@@ -839,7 +843,7 @@
 // ---- leaving ----
 
 func (c *Controller) leave(now, left time.Duration) {
-	c.leaving, c.left, c.wantHealth, c.stop = true, now, false, now+left-look-2*c.batch
+	c.leaving, c.left, c.stop = true, now, now+left-look-2*c.batch
 	for _, r := range c.all {
 		r.due = min(r.due, c.stop)
 		c.watch(now, r)
@@ -934,8 +938,8 @@
 		}
 	}
 	c.touched = c.touched[:0]
-	if !c.told || c.health != c.wantHealth {
-		c.told, c.health = true, c.wantHealth
+	if good := !c.leaving && !c.stuck; !c.told || c.health != good {
+		c.told, c.health = true, good
 		out = append(out, Action{Kind: Health, Good: c.health, Cheap: true})
 	}
 	if c.signal != "off" {
