Whole runs under the cap, idle connections closed where edge nodes come seldom

Connections without traffic are closed after 200 ms where edge nodes are over 16 a core and the usual one comes less than each 5 s. Allowance: this server's room over the edge nodes told at the start, and never under the wanted load, read as a chance. Counts of each caller's arrivals go out with it. With it: work is stuck only when all cores are taken; one long run of two cores is none.

--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -216,7 +216,7 @@
 	overload.Run: "admit", overload.Stop: "yank", overload.Shed: "turnAway", overload.Error: "reportFailure",
 	overload.Call: "dial", overload.Skip: "degrade", overload.Remember: "storeKey",
 	overload.Forget: "releaseKey", overload.Join: "attach", overload.Health: "readiness",
-	overload.Signal: "advertise", overload.Wake: "sleep",
+	overload.Signal: "advertise", overload.Wake: "sleep", overload.Trim: "closeIdle",
 }
 
 func encode(b []byte, who uint64, a overload.Action) []byte {
@@ -234,6 +234,8 @@
 	case overload.Wake:
 		number("whenUs", a.At.Microseconds())
 		number("handle", 1)
+	case overload.Trim:
+		number("keepForUs", a.For.Microseconds())
 	default:
 		number("txn", int64(a.ID))
 	}
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -62,8 +62,6 @@
 	stuckAfter    = 2 * time.Second        // no progress of running work for this long: it hangs
 	stopAgain     = 500 * time.Millisecond // a stop without effect is asked for again
 	minRetryAfter = 100 * time.Millisecond // less is no advice
-	maxCallers    = 256                    // counts of edge nodes; more than that share them
-	callerKeep    = 0.95                   // of a caller's count a tick: two seconds of its traffic
 	patiencePace  = 0.1                    // weight of one given-up try in a caller's patience: ten settle it
 	lateNew       = 0.1                    // weight of one arrival's time unread: some ten arrivals count
 	lateKeep      = 0.98                   // of that a tick, so that it fades where nothing comes
@@ -75,8 +73,11 @@
 	pressed       = 0.45                   // share of the time allowed for waiting from which load is too much
 	hintTrust     = 0.5                    // part of a told cost that is believed: told costs are rough
 	valueTilt     = 0.5                    // exponent of value in a line's weight: 0 none, 1 full
-	full          = 0.9                    // wanted load under which this server counts as full, not just busy
+	full          = 0.97                   // wanted load under which a try elsewhere likely only costs a read
 	bearable      = 10 * time.Second       // client timeout where none is told
+	tableRoom     = 16.0                   // connections a core: with more the table is felt
+	seldom        = 5 * time.Second        // an edge node back only after this had better connect anew
+	keepShort     = 200 * time.Millisecond // idle time then: a walk or a burst still finds it open
 	lapseFor      = 2 * time.Second        // a never-run forerunner is known this long: longer than any batch
 )
 
@@ -168,12 +169,13 @@
 	busy, runnable, wanting     float64
 	progress, lastTick          time.Duration
 	stuck, armed                bool
+	keep, wantKeep              time.Duration // connections idle for longer are closed, 0 as usual
+	edges                       float64       // edge nodes, as told at the start
 	open, sent                  float64
 	health, told                bool
-	callers                     [maxCallers]float64 // recent arrivals
-	patience                    float64             // share of the client timeout a caller waits, 0 unknown
-	late                        float64             // recent time unread, in seconds
-	callTook, callBase, callCap float64             // usual and least call time in seconds; bound in hand
+	patience                    float64 // share of the client timeout a caller waits, 0 unknown
+	late                        float64 // recent time unread, in seconds
+	callTook, callBase, callCap float64 // usual and least call time in seconds; bound in hand
 	inHand                      ring
 	inHandAt                    time.Duration
 }
@@ -182,10 +184,11 @@
 func New(seed uint64, settings map[string]any, now time.Duration) *Controller {
 	b, rules := get[map[string]any](settings, "backend", nil), get[map[string]any](settings, "rules", nil)
 	c := &Controller{reqs: map[uint64]*req{}, lapsed: map[uint64]time.Duration{}, started: now, progress: now,
-		lastTick: now, inHandAt: now, open: 1, gBusy: -1, gRunnable: -1}
+		lastTick: now, inHandAt: now, open: 1}
 	c.chance.seed(seed)
 	c.cores, c.memory = math.Max(1, get(b, "cores", 1.0)), get(b, "memory", math.Inf(1))
 	c.runFactor, c.keySize = math.Max(1, get(b, "run_factor", 1.0)), get(b, "key_size", 0.0)
+	c.edges = get(b, "callers", 0.0)
 	c.canStop = get(b, "halt", "off") != "off"
 	c.below, c.signal = get(b, "below", "off"), get(b, "signal", "off")
 	c.share, c.callsOver = get(b, "calls_share", 0.0), get(b, "calls_over", 5*time.Second)
@@ -196,14 +199,8 @@
 	c.batch = get(settings, "batch_every", time.Duration(0))
 	limits := get[map[string]any](settings, "limits", nil)
 	c.retryAdvice, c.maxRetry = get(limits, "retry_after", false), get(limits, "max_retry_after", time.Second)
-	for i, g := range get[[]any](b, "gauges", nil) {
-		switch g {
-		case "busy":
-			c.gBusy = i
-		case "runnable":
-			c.gRunnable = i
-		}
-	}
+	gauges := get[[]any](b, "gauges", nil)
+	c.gBusy, c.gRunnable = slices.Index(gauges, any("busy")), slices.Index(gauges, any("runnable"))
 	skips := get[[]any](b, "handler_skip_value", nil)
 	for i, v := range get[[]any](settings, "handlers", nil) {
 		m, _ := v.(map[string]any)
@@ -271,10 +268,9 @@
 	c.lastTick = now
 	c.busy, c.runnable = 0, 0
 	for i, g := range gauges {
-		switch i {
-		case c.gBusy:
+		if i == c.gBusy {
 			c.busy = g
-		case c.gRunnable:
+		} else if i == c.gRunnable {
 			c.runnable = g
 		}
 	}
@@ -288,9 +284,9 @@
 	c.observe(now, span)
 	c.adapt(now)
 	c.expire(now)
-	// Stuck work (a hang, a machine far too slow): whatever its cause, more reqs would only share its fate.
-	// Harm: work that is rightly longer than this with no step in between sheds its followers.
-	if c.n[running] == 0 {
+	// Stuck work (a hang, a machine far too slow): more reqs would only share its fate. One long run beside a
+	// free core is none. Harm: runs on all cores that are rightly longer shed their followers.
+	if float64(c.n[running]) < c.cores {
 		c.progress = max(c.progress, now-tick)
 	}
 	c.stuck = now-c.progress > stuckAfter
@@ -353,16 +349,20 @@
 	}
 }
 
-// adapt moves the companion cap, the bound on calls and the wanted load, once a tick.
+// adapt moves the companion cap, the bound on calls, the wanted load and the connections kept, once a tick.
 func (c *Controller) adapt(now time.Duration) {
+	came := 0.0
 	for _, h := range c.handlers {
+		_, n := h.came.sum(now)
+		came += n
 		if m, n := h.own.mean(now); n >= minSamples {
 			h.base = math.Min(cmp.Or(h.base*baseForget, m), m)
 		}
 	}
 	// Where reqs mostly wait for disk their latency hides how crowded the cores are; what wants a core tells.
+	// A core is free only if fewer want one than there are: with two cores one more run is a third of the crowd.
 	c.wanting += capSmooth * (c.runnable - c.wanting)
-	if c.busy < busyLimit && c.runnable <= c.cores {
+	if c.busy < busyLimit && c.runnable < c.cores {
 		if c.n[held] > 0 {
 			c.cap += math.Max(1, c.cap*capGrow)
 		}
@@ -372,6 +372,13 @@
 	}
 	c.cap = math.Max(c.cores, math.Min(c.cap, c.crowd(now)))
 
+	// Guards against a table that fills with connections of no further use: it taxes the cores, and newcomers
+	// find no place. Harm: where a new connection costs far more than some seconds of its place.
+	c.wantKeep = 0
+	if c.edges > tableRoom*c.cores && c.edges*(10*bucket).Seconds() > seldom.Seconds()*came {
+		c.wantKeep = keepShort
+	}
+
 	// A dependency slows down long before it falls: fewer in hand while calls take far too long.
 	c.callBase = math.Min(cmp.Or(c.callBase*baseForget, c.callTook), c.callTook)
 	if c.callTook > callSlow*c.callBase {
@@ -380,11 +387,7 @@
 		c.callCap = math.Min(c.callCap+1, c.cores*callsEach)
 	}
 
-	// The wanted load follows how full the time for waiting is, slowly: callers that all turn away at once
-	// all come back at once.
-	for i := range c.callers {
-		c.callers[i] *= callerKeep
-	}
+	// The wanted load follows how full the time for waiting is, slowly: who leave at once come back at once.
 	worst := 0.0
 	for _, h := range c.handlers {
 		room := finishBy*h.target.Seconds() - h.expected(now, 1)
@@ -451,7 +454,6 @@
 	c.mem += r.size
 	h.came.add(now, 1)
 	c.late += lateNew * (e.Unread.Seconds() - c.late)
-	c.callers[uint(e.Caller)%maxCallers]++
 	share := finishBy
 	if e.Customer >= 0 && e.Customer < len(c.customers) && !c.customers[e.Customer].take(now) {
 		share = overShare
@@ -544,7 +546,7 @@
 	crowd := c.crowd(now)
 	for c.n[held] > 0 && !c.stuck {
 		inside := float64(c.n[running] + c.n[waiting] + c.n[calling])
-		if float64(c.n[running]) >= c.cap || inside >= crowd || c.runnable >= crowd {
+		if float64(c.n[running]+1) > c.cap || inside >= crowd || c.runnable >= crowd {
 			return
 		}
 		var best *handler
@@ -599,10 +601,9 @@
 
 // ---- advice ----
 
-// refuse sheds a req that never ran, and tells the caller when to come back. While the wanted load is down
-// others are likely full too, and a further try would cost another read. Guards against storms of further
-// tries, whatever began them; harms where only this server is slow: reqs it sheds then are lost though others
-// had room.
+// refuse sheds a req that never ran, and tells the caller when to come back. With the wanted load down a try
+// elsewhere likely costs one more read, many on a long list, and comes to nothing. Guards against storms of
+// tries, whatever began them; harms where only this server is slow and others have room.
 func (c *Controller) refuse(r *req, after time.Duration) {
 	if c.retryAdvice {
 		spread := seconds(after.Seconds() * (0.5 + c.chance.float())) // not all back at once
@@ -622,13 +623,8 @@
 	case "floor":
 		return 1 - open
 	case "allowance":
-		// Callers differ much in size: what counts is how many of the largest size would send as much.
-		sum, squares := 0.0, 0.0
-		for _, n := range c.callers {
-			sum += n
-			squares += n * n
-		}
-		return open * (c.cap + c.cores) * math.Max(squares, 1) / math.Max(1, sum*sum)
+		// This server's room over the edge nodes. Where they are many each has one req here at most: a chance.
+		return open * math.Max(1, (c.cap+c.cores)/math.Max(1, c.edges))
 	}
 	return open
 }
@@ -686,9 +682,8 @@
 	}
 }
 
-// learn corrects the patience of callers. Where no time left is told, callers that try again give up a try
-// long before the client timeout, and work past that is lost. Given-up tries tell their patience; a done req
-// that waited longer proves more, lest single impatient clients or cancelled copies make all seem so.
+// learn corrects the patience of callers. Where no time left is told, those that try again give up a try long
+// before the client timeout. Given-up tries tell; a done req that waited longer proves more.
 func (c *Controller) learn(now time.Duration, r *req, gaveUp bool) {
 	f := (now - r.arrived).Seconds() / r.h.timeout.Seconds()
 	if gaveUp || c.patience > 0 && f > c.patience {
@@ -812,11 +807,10 @@
 	c.waits = keep
 }
 
-// mayCall tells how long a call of this req may last, 0 that it has to wait. Guards against a dependency
-// that turns slow with all calls in hand (incident i502e29): what is in hand now may stay for its whole
-// time-out, so that is cut to what is left of this server's share of call-seconds; given-up calls linger and
-// count. Harm: after many failed calls the next ones wait for the window to pass, also where the dependency
-// is well again.
+// mayCall tells how long a call of this req may last, 0 that it has to wait. Guards against a dependency that
+// turns slow with all calls in hand (incident i502e29): they may stay for their time-out, so that is cut to
+// what is left of this server's share of call-seconds; given-up calls linger and count. Harm: after many
+// failed calls the next ones wait for the window to pass, also where the dependency is well again.
 func (c *Controller) mayCall(now time.Duration, r *req) time.Duration {
 	hand := float64(c.n[calling] + 1)
 	if r.callAgain > now || hand > math.Min(callsEach*c.cores, c.crowd(now)) {
@@ -948,6 +942,10 @@
 			out = append(out, Action{Kind: Signal, Value: v})
 		}
 	}
+	if c.keep != c.wantKeep {
+		c.keep = c.wantKeep
+		out = append(out, Action{Kind: Trim, For: c.keep})
+	}
 	if !c.armed {
 		c.armed = true
 		out = append(out, Action{Kind: Wake, At: now + look})
--- a/overload/trace_test.go
+++ b/overload/trace_test.go
@@ -191,6 +191,8 @@
 		return fmt.Sprintf("health good=%v", a.Good)
 	case Signal:
 		return fmt.Sprintf("signal %.3f", a.Value)
+	case Trim:
+		return fmt.Sprintf("close connections idle for %v", a.For)
 	}
 	names := map[ActionKind]string{Run: "run", Stop: "stop", Error: "error", Skip: "skip", Forget: "forget", Join: "join"}
 	return fmt.Sprintf("%s %d", names[a.Kind], a.ID)
--- a/overload/types.go
+++ b/overload/types.go
@@ -72,6 +72,7 @@
 	Health                         // what health checks are told from now on
 	Signal                         // the value that rides on answers
 	Wake                           // ask for a Timer event
+	Trim                           // close connections that have been idle for so long
 )
 
 // Action is one thing to be done. Fields that do not belong to its kind are zero.
@@ -81,7 +82,7 @@
 
 	RetryAfter time.Duration // Shed: how long to stay away; 0 no advice
 	DontRetry  bool          // Shed: not to be tried elsewhere either
-	For        time.Duration // Call: time-out; Remember: lifetime
+	For        time.Duration // Call: time-out; Remember: lifetime; Trim: how long idle
 	At         time.Duration // Wake
 	Good       bool          // Health
 	Cheap      bool          // Health: answer checks without real work
