--- a/overload/overload.go
+++ b/overload/overload.go
@@ -9,7 +9,7 @@
 //  2. advice: when to come back, whether to try elsewhere, and the signal in each of its meanings
 //  3. watch: nothing passes its due time, and nothing that can't earn any more keeps cores busy
 //  4. keys: uniqued reqs are remembered, repeats answered from their forerunner
-//  5. calls: those in hand are bounded, timed out, repeated only after proof that they never ran
+//  5. calls: those in hand are bounded, timed out and not repeated
 //  6. leaving, cold start and stuck work: health, and the crowd and memory that the server survives
 
 import (
@@ -57,8 +57,6 @@
 	callSlow      = 4.0                    // times the least time of calls from which fewer are made
 	callDown      = 0.9                    // factor a tick on calls in hand then: halved in less than a second
 	callLeast     = 200 * time.Millisecond // least time-out worth a call to a shared dependency
-	callTries     = 4                      // tries of one call, proved never-run each time
-	callPause     = 60 * time.Millisecond  // before the next try, times the tries so far
 	stuckAfter    = 2 * time.Second        // no progress of running work for this long: it hangs
 	stopAgain     = 500 * time.Millisecond // a stop without effect is asked for again
 	minRetryAfter = 100 * time.Millisecond // less is no advice
@@ -109,10 +107,9 @@
 	key, wantKey          time.Duration // remembered until
 	ran, touched          bool
 	started, callTime     time.Duration
-	calledAt, callAgain   time.Duration
+	calledAt              time.Duration
 	stopSent              time.Duration
 	cpu                   time.Duration
-	tries                 int
 	callFor, retryAfter   time.Duration
 	dontRetry, gone, quit bool
 }
@@ -249,7 +246,7 @@
 			c.goneAway(now, r)
 		case e.Kind == NeedsCall:
 			c.progress = now
-			r.calledAt, r.tries, r.callAgain = now, 0, now
+			r.calledAt = now
 			c.set(now, r, waiting)
 			c.waits = append(c.waits, r)
 		case e.Kind == CallEnded:
@@ -761,12 +758,9 @@
 		return
 	}
 	c.set(now, r, waiting)
-	never := e.Outcome == Full || e.Outcome == NoConnection || e.Outcome == Moot
-	if never && r.tries < callTries && now < r.target {
-		r.callAgain = now + time.Duration(r.tries)*callPause
-		c.waits = append(c.waits, r)
-		return
-	}
+	// Not repeated, also where it never ran: the edge node in between has tried others already, and each look
+	// costs a read below. Guards against storms in a tier below that is full (incident i715a4f); harms where
+	// one call met a short gap.
 	c.skipOr(now, r)
 }
 
@@ -798,7 +792,6 @@
 			// Too late for the call to be of use: it would cost a read below and come to nothing.
 			c.skipOr(now, r)
 		default:
-			r.tries++
 			r.callFor = max(min(r.due-now, room), time.Millisecond)
 			c.move(now, r, calling)
 		}
@@ -813,7 +806,7 @@
 // failed calls the next ones wait for the window to pass, also where the dependency is well again.
 func (c *Controller) mayCall(now time.Duration, r *req) time.Duration {
 	hand := float64(c.n[calling] + 1)
-	if r.callAgain > now || hand > math.Min(callsEach*c.cores, c.crowd(now)) {
+	if hand > math.Min(callsEach*c.cores, c.crowd(now)) {
 		return 0
 	}
 	if c.below != "shared" || c.share <= 0 {
