Runs are begun, and kept in line, only while 0.9 of the expected time is left

It also covers any handler whose run time hardly varies; it harms handlers whose costs vary so much that short reqs would still have made it. Most runs that die at their target still do so after a full run time: that is another cause.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -45,7 +45,7 @@
 	finishBy      = 0.85                   // share of the target at which work admitted should be done
 	stormShare    = 0.25                   // how much less of the target while the wanted load is lowest
 	overShare     = 0.4                    // the same share for a customer over its share
-	stillFinish   = 0.6                    // part of the expected time a lucky run takes: below it is hopeless
+	stillFinish   = 0.9                    // part of the expected time a lucky run takes: below it is hopeless
 	startHold     = 4.0                    // held reqs a core before any run has been timed
 	shareSlack    = 1.25                   // customers' shares are for the fleet; so much spread is normal
 	shareBurst    = 2.0                    // seconds of a customer's share that may come at once
