Stopped runs that took longer than expected count in the mean run time

It covers slow machines, costly spells and crowds alike; it harms after a spell, for the five seconds that the window remembers it.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -699,7 +699,9 @@
 		c.doneN++
 		c.learn(now, r, false)
 	}
-	if r.at == running && (e.Outcome == OK || e.Outcome == Errored) {
+	// A run that was stopped took at least so long: without it the mean would be that of the lucky ones.
+	cut := e.Outcome == Stopped && now-r.started > seconds(r.h.expected(now, 1))
+	if r.at == running && (e.Outcome == OK || e.Outcome == Errored || cut) {
 		r.h.own.add(now, (now - r.started - r.callTime).Seconds())
 		r.h.whole.add(now, (now - r.started).Seconds())
 	}
