A tier below aims at half of the response target of those above

It covers any tier below that turns slow or full; it harms where callers above have nearly all of their time for one call.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -204,6 +204,8 @@
 		h := &handler{timeout: get(m, "client_timeout", bearable), window: get(m, "window", time.Duration(0)),
 			value: math.Max(0.01, get(m, "value", 1.0)), late: get(m, "late_share", 0.0)}
 		h.target = min(get(m, "response_target", h.timeout), h.timeout)
+		// Who calls a tier below has the target for itself and its calls: an answer in the last moment is late.
+		h.target = time.Duration(float64(h.target) / (1 + math.Max(0, get(settings, "tier", 0.0))))
 		h.uniqued, h.once = get(m, "repeats", "") == "uniqued", get(m, "repeats", "") == "non-replayable"
 		if i < len(skips) {
 			h.skip, _ = skips[i].(float64)
--- a/overload/trace_test.go
+++ b/overload/trace_test.go
@@ -81,7 +81,10 @@
 			continue // a decision: it is made anew
 		}
 		if len(words) > 0 && words[0] == "set" {
-			section := settings[words[1]].(map[string]any)
+			section, nested := settings[words[1]].(map[string]any)
+			if !nested {
+				section = settings
+			}
 			section[words[2]] = value(words[3])
 		} else if len(words) > 0 {
 			at, err := time.ParseDuration(words[0])
