--- a/overload/overload.go
+++ b/overload/overload.go
@@ -37,7 +37,7 @@
 	cpuShare      = 0.35                   // of the client timeout: work this long rarely ends in time
 	capGrow       = 0.25                   // part of the cap added a tick while cores are free: x10 in a second
 	capSmooth     = 0.1                    // weight of one tick's latency ratio: a second to follow a change
-	capWanting    = 1.25                    // reqs wanting each core that still do not slow one another much
+	capWanting    = 1.25                   // reqs wanting each core that still do not slow one another much
 	capTolerance  = 1.5                    // recent over base latency that is still no reason to shrink
 	baseForget    = 1.0005                 // growth of base latency a tick: 30% a minute, outlives a trouble
 	minSamples    = 4                      // runs in the window before a latency is believed
