--- a/overload/overload.go
+++ b/overload/overload.go
@@ -360,7 +360,7 @@
 	}
 	// Where reqs mostly wait for disk their latency hides how crowded the cores are; what wants a core tells.
 	// A core is free only if fewer want one than there are: with two cores one more run is a third of the crowd.
-	c.wanting += capSmooth * (c.runnable - c.wanting)
+	c.wanting += capSmooth * (math.Min(c.runnable, float64(c.n[running])) - c.wanting)
 	if c.busy < busyLimit && c.runnable < c.cores {
 		if c.n[held] > 0 {
 			c.cap += math.Max(1, c.cap*capGrow)
