--- a/overload/overload.go
+++ b/overload/overload.go
@@ -43,7 +43,6 @@
 	minSamples    = 4                      // runs in the window before a latency is believed
 	bucket        = 500 * time.Millisecond // width of a bucket; ten make the window of 5 s
 	finishBy      = 0.85                   // share of the target at which work admitted should be done
-	stormShare    = 0.25                   // how much less of the target while the wanted load is lowest
 	overShare     = 0.4                    // the same share for a customer over its share
 	stillFinish   = 0.9                    // part of the expected time a lucky run takes: below it is hopeless
 	startHold     = 4.0                    // held reqs a core before any run has been timed
@@ -476,8 +475,6 @@
 	if h.uniqued {
 		key = c.keySize
 	}
-	// In a storm of further tries most have spent time elsewhere that is not told: ask for more room then.
-	share -= stormShare * (1 - c.open)
 	end := now + seconds(c.wait(now, h)+h.expected(now, r.scale))
 	finish := r.arrived + time.Duration(share*float64(r.target-r.arrived))
 	switch {
