Only runs that want a core count under the cap; waits for disk show in the gauge

Now as many runs count as the gauge says want a core, plus those begun since it was read (each look, 25 ms); all in progress stay under the crowd that is survived. Without that gauge all count.

It covers any wait that is not told, and takes nothing where runs do not wait. It could harm where the gauge lags far behind: then a crowd is begun before it is seen, up to that bound.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -163,6 +163,7 @@
 	done                        [memWindow]float64
 	doneN                       int
 	busy, runnable, wanting     float64
+	begun                       float64 // runs since the last look
 	progress, lastTick          time.Duration
 	stuck, armed                bool
 	keep, wantKeep              time.Duration // connections idle for longer are closed, 0 as usual
@@ -184,15 +185,13 @@
 	c.chance.seed(seed)
 	c.cores, c.memory = math.Max(1, get(b, "cores", 1.0)), get(b, "memory", math.Inf(1))
 	c.runFactor, c.keySize = math.Max(1, get(b, "run_factor", 1.0)), get(b, "key_size", 0.0)
-	c.edges = get(b, "callers", 0.0)
-	c.canStop = get(b, "halt", "off") != "off"
+	c.canStop, c.batch = get(b, "halt", "off") != "off", get(settings, "batch_every", time.Duration(0))
 	c.below, c.signal = get(b, "below", "off"), get(b, "signal", "off")
 	c.share, c.callsOver = get(b, "calls_share", 0.0), get(b, "calls_over", 5*time.Second)
 	c.linger, c.shareFor = get(b, "linger", time.Duration(0)), get(b, "share_for", time.Duration(0))
-	c.cold = get(b, "cold", false)
+	c.cold, c.edges = get(b, "cold", false), get(b, "callers", 0.0)
 	c.fall, c.coldFrom = get(rules, "fall_multiple", math.Inf(1)), get(rules, "cold_from", 1.0)
 	c.coldFor, c.grace = get(rules, "cold_for", time.Duration(0)), get(rules, "drain_grace", time.Duration(0))
-	c.batch = get(settings, "batch_every", time.Duration(0))
 	limits := get[map[string]any](settings, "limits", nil)
 	c.retryAdvice, c.maxRetry = get(limits, "retry_after", false), get(limits, "max_retry_after", time.Second)
 	gauges := get[[]any](b, "gauges", nil)
@@ -232,8 +231,9 @@
 			c.arrive(now, e)
 		case e.Kind == Timer:
 			c.armed = false
+			c.gauge(e.Gauges)
 			if now-c.lastTick >= tick {
-				c.onTick(now, e.Gauges)
+				c.onTick(now)
 			}
 			for _, r := range c.all {
 				c.watch(now, r)
@@ -261,10 +261,8 @@
 
 // ---- the design: observe, duress, drop, adapt ----
 
-func (c *Controller) onTick(now time.Duration, gauges []float64) {
-	span := min(now-c.lastTick, 3*tick) // after a standstill the busy share says nothing of the gap
-	c.lastTick = now
-	c.busy, c.runnable = 0, 0
+func (c *Controller) gauge(gauges []float64) {
+	c.busy, c.runnable, c.begun = 0, 0, 0
 	for i, g := range gauges {
 		if i == c.gBusy {
 			c.busy = g
@@ -272,6 +270,19 @@
 			c.runnable = g
 		}
 	}
+}
+
+// onCores is how many runs want a core; waits for disk show in the gauge alone (incidents i43a6e6, i4d5678).
+func (c *Controller) onCores() float64 {
+	if c.gRunnable < 0 {
+		return float64(c.n[running])
+	}
+	return math.Min(float64(c.n[running]), c.runnable+c.begun)
+}
+
+func (c *Controller) onTick(now time.Duration) {
+	span := min(now-c.lastTick, 3*tick) // after a standstill the busy share says nothing of the gap
+	c.lastTick = now
 	credit := time.Duration(float64(span) * c.busy * c.cores / math.Max(float64(c.n[running]), c.cores))
 	c.all = slices.DeleteFunc(c.all, func(r *req) bool { return r.at == over })
 	for _, r := range c.all {
@@ -357,9 +368,9 @@
 			h.base = math.Min(cmp.Or(h.base*baseForget, m), m)
 		}
 	}
-	// Where reqs mostly wait for disk their latency hides how crowded the cores are; what wants a core tells.
-	// A core is free only if fewer want one than there are: with two cores one more run is a third of the crowd.
-	c.wanting += capSmooth * (math.Min(c.runnable, float64(c.n[running])) - c.wanting)
+	// Latency hides how crowded the cores are where reqs mostly wait for disk; what wants a core tells. One is
+	// free only if fewer want one than there are: with two cores one more run is a third of the crowd.
+	c.wanting += capSmooth * (c.onCores() - c.wanting)
 	if c.busy < busyLimit && c.runnable < c.cores {
 		if c.n[held] > 0 {
 			c.cap += math.Max(1, c.cap*capGrow)
@@ -370,8 +381,8 @@
 	}
 	c.cap = math.Max(c.cores, math.Min(c.cap, c.crowd(now)))
 
-	// Guards against a table that fills with connections of no further use: it taxes the cores, and newcomers
-	// find no place. Harm: where a new connection costs far more than some seconds of its place.
+	// Guards against a table full of connections of no further use, which taxes the cores and has no place for
+	// newcomers. Harm: where a new connection costs far more than some seconds of its place.
 	c.wantKeep = 0
 	if c.edges > tableRoom*c.cores && c.edges*(10*bucket).Seconds() > seldom.Seconds()*came {
 		c.wantKeep = keepShort
@@ -525,7 +536,7 @@
 
 // wait is how long a newcomer to this line is expected to be held, in seconds.
 func (c *Controller) wait(now time.Duration, h *handler) float64 {
-	if h.held == 0 || float64(c.n[held]) <= c.cap-float64(c.n[running]) {
+	if h.held == 0 || float64(c.n[held]) <= c.cap-c.onCores() {
 		return 0
 	}
 	work := 0.0
@@ -534,7 +545,7 @@
 			work += o.weight(now) * o.runTime(now)
 		}
 	}
-	return float64(h.held) * work / (c.cap * h.weight(now))
+	return float64(h.held) * work / (math.Max(c.cap, float64(c.n[running])) * h.weight(now))
 }
 
 // fill starts held reqs while the cap, the crowd and the memory allow.
@@ -542,7 +553,7 @@
 	crowd := c.crowd(now)
 	for c.n[held] > 0 && !c.stuck {
 		inside := float64(c.n[running] + c.n[waiting] + c.n[calling])
-		if float64(c.n[running]+1) > c.cap || inside >= crowd || c.runnable >= crowd {
+		if c.onCores()+1 > c.cap || inside >= crowd || c.runnable >= crowd {
 			return
 		}
 		var best *handler
@@ -566,6 +577,7 @@
 		c.turn = best.pass
 		best.pass += 1 / best.weight(now)
 		r.ran, r.started = true, now
+		c.begun++
 		c.move(now, r, running)
 	}
 }
@@ -759,9 +771,8 @@
 		return
 	}
 	c.set(now, r, waiting)
-	// Not repeated, also where it never ran: the edge node in between has tried others already, and each look
-	// costs a read below. Guards against storms in a tier below that is full (incident i715a4f); harms where
-	// one call met a short gap.
+	// Not repeated, also where it never ran: the edge node between has tried others, and each look costs a read.
+	// Guards against storms in a full tier below (incident i715a4f); harms where one call met a short gap.
 	c.skipOr(now, r)
 }
 
