In a flood the connection table may fill, since a place it lacks refuses for nothing

The early close of idle connections is lifted while over 0.8 of the reqs are shed, until it is under 0.5. It covers any flood from many edge nodes, whatever began it; it harms where the few connections that stay open are those of one edge node.

Duress is read off the count of ticks, the score stands in the req: no action changes by these. The traces tell a crowd of like decisions by its number.

--- a/overload/overload.go
+++ b/overload/overload.go
@@ -75,6 +75,9 @@
 	tableRoom     = 16.0                   // connections a core: with more the table is felt
 	seldom        = 5 * time.Second        // an edge node back only after this had better connect anew
 	keepShort     = 200 * time.Millisecond // idle time then: a walk or a burst still finds it open
+	refusedNew    = 0.02                   // weight of one req in the share refused: some fifty count
+	flooded       = 0.8                    // share refused from which connections cost more than what is served
+	ebbed         = 0.5                    // and under which the flood is over
 	lapseFor      = 2 * time.Second        // a never-run forerunner is known this long: longer than any batch
 )
 
@@ -96,8 +99,7 @@
 	id                   uint64
 	h                    *handler
 	arrived, due, target time.Duration
-	size                 float64
-	scale                float64 // told cost over the usual of its handler
+	size, scale          float64 // kilobytes held; told cost over the usual of its handler
 	fore                 *req    // what it repeats
 	owed                 int     // repeats that wait for this one
 
@@ -106,10 +108,10 @@
 	key, wantKey          time.Duration // remembered until
 	ran, touched          bool
 	started, callTime     time.Duration
-	calledAt              time.Duration
-	stopSent              time.Duration
-	cpu                   time.Duration
-	callFor, retryAfter   time.Duration
+	calledAt, stopSent    time.Duration
+	score                 int // trackers breached
+	cpu, callFor          time.Duration
+	retryAfter            time.Duration
 	dontRetry, gone, quit bool
 }
 
@@ -149,25 +151,21 @@
 	fall, coldFrom, share                       float64
 	coldFor, grace, linger, callsOver, maxRetry time.Duration
 	started, batch, shareFor                    time.Duration
-	canStop, cold, retryAdvice                  bool
+	canStop, cold, retryAdvice, leaving         bool
 	below, signal                               string
 	gBusy, gRunnable                            int
 	left, stop                                  time.Duration // the notice, and when the process stops
-	leaving                                     bool
 
-	mem                         float64
-	cap, turn                   float64
-	hot                         int
-	duress                      bool
+	mem, cap, turn              float64
 	ratioTokens, rateTokens     float64
 	done                        [memWindow]float64
-	doneN                       int
+	doneN, hot                  int // runs done; ticks in a row over a threshold
 	busy, runnable, wanting     float64
 	begun                       float64 // runs since the last look
 	progress, lastTick          time.Duration
 	stuck, armed                bool
 	keep, wantKeep              time.Duration // connections idle for longer are closed, 0 as usual
-	edges                       float64       // edge nodes, as told at the start
+	edges, refused              float64       // edge nodes told at the start; recent share of reqs shed
 	open, sent                  float64
 	health, told                bool
 	patience                    float64 // share of the client timeout a caller waits, 0 unknown
@@ -304,20 +302,14 @@
 func (c *Controller) observe(now, span time.Duration) {
 	if c.busy >= busyLimit || c.mem >= memLimit*c.memory {
 		c.hot++
-		c.duress = c.duress || c.hot >= breaches
 	} else {
-		c.hot, c.duress = 0, false
+		c.hot = 0
 	}
 	c.rateTokens = math.Min(dropBurst, c.rateTokens+dropRate*float64(span/time.Millisecond))
-	if !c.duress {
+	if c.hot < breaches {
 		return
 	}
-	type heavy struct {
-		r       *req
-		score   int
-		elapsed time.Duration
-	}
-	var found []heavy
+	var found []*req
 	all := 0.0
 	for _, r := range c.all {
 		if r.want >= running {
@@ -332,29 +324,29 @@
 		if r.want < running || !r.owing() {
 			continue
 		}
-		f := heavy{r: r, elapsed: now - r.started}
-		if f.elapsed >= time.Duration(elapsedShare*float64(r.h.timeout)) {
-			f.score++
+		r.score = 0
+		if now-r.started >= time.Duration(elapsedShare*float64(r.h.timeout)) {
+			r.score++
 		}
 		if r.cpu >= time.Duration(cpuShare*float64(r.h.timeout)) {
-			f.score++
+			r.score++
 		}
 		mem := c.weigh(r, running)
 		if all >= memAll*c.memory && count == memWindow && mem >= memEach*c.memory && mem >= memOver*average {
-			f.score++
+			r.score++
 		}
-		if f.score > 0 {
-			found = append(found, f)
+		if r.score > 0 {
+			found = append(found, r)
 		}
 	}
-	slices.SortStableFunc(found, func(a, b heavy) int {
-		return cmp.Or(b.score-a.score, cmp.Compare(b.elapsed, a.elapsed))
+	slices.SortStableFunc(found, func(a, b *req) int {
+		return cmp.Or(b.score-a.score, cmp.Compare(a.started, b.started))
 	})
 	budget := int(math.Min(c.ratioTokens, c.rateTokens))
-	for _, f := range found[:min(budget, len(found), dropBurst)] {
+	for _, r := range found[:min(budget, len(found), dropBurst)] {
 		c.ratioTokens--
 		c.rateTokens--
-		c.giveUp(f.r)
+		c.giveUp(r)
 	}
 }
 
@@ -383,8 +375,14 @@
 
 	// Guards against a table full of connections of no further use, which taxes the cores and has no place for
 	// newcomers. Harm: where a new connection costs far more than some seconds of its place.
+	// In a flood it may fill until that is well over: a place it lacks refuses without a read (h7a8613).
+	limit := ebbed
+	if c.wantKeep > 0 {
+		limit = flooded
+	}
 	c.wantKeep = 0
-	if c.edges > tableRoom*c.cores && c.edges*(10*bucket).Seconds() > seldom.Seconds()*came {
+	often := came*seldom.Seconds() > c.edges*(10*bucket).Seconds()
+	if c.edges > tableRoom*c.cores && !often && c.refused < limit {
 		c.wantKeep = keepShort
 	}
 
@@ -578,6 +576,7 @@
 		best.pass += 1 / best.weight(now)
 		r.ran, r.started = true, now
 		c.begun++
+		c.refused -= refusedNew * c.refused
 		c.move(now, r, running)
 	}
 }
@@ -617,6 +616,7 @@
 		spread := seconds(after.Seconds() * (0.5 + c.chance.float())) // not all back at once
 		r.retryAfter = min(max(spread, minRetryAfter), c.maxRetry)
 	}
+	c.refused += refusedNew * (1 - c.refused)
 	r.dontRetry = !c.leaving && !c.stuck && c.open < full
 	c.giveUp(r)
 }
@@ -657,7 +657,7 @@
 		c.giveUp(r)
 	case r.want == held && (late || c.hopeless(now, r)):
 		c.refuse(r, minRetryAfter)
-	case late && (r.want == waiting || r.want == running && c.duress && c.n[held] > 0):
+	case late && (r.want == waiting || r.want == running && c.hot >= breaches && c.n[held] > 0):
 		c.giveUp(r)
 	}
 }
--- a/overload/trace_test.go
+++ b/overload/trace_test.go
@@ -68,10 +68,19 @@
 		if c == nil || len(events) == 0 {
 			return
 		}
-		for _, a := range c.Handle(now, events) {
+		alike, last := 0, ActionKind(0)
+		for _, a := range append(c.Handle(now, events), Action{Kind: Wake}) {
+			if a.Kind == last && len(events) > 20 { // a crowd is told by its number
+				alike++
+				continue
+			}
+			if alike > 0 {
+				fmt.Fprintf(&out, "    and %d more alike\n", alike)
+			}
 			if a.Kind != Wake { // the looks every 25 ms
 				fmt.Fprintf(&out, "    %s\n", printed(a))
 			}
+			alike, last = 0, a.Kind
 		}
 		events = nil
 	}
@@ -98,7 +107,11 @@
 			if c == nil {
 				c = New(1, settings, now)
 			}
-			events = append(events, parse(t, words[1:]))
+			e := parse(t, words[1:])
+			for range max(1, e.times) {
+				events = append(events, e.Event)
+				e.ID++
+			}
 		} else {
 			flush()
 		}
@@ -134,9 +147,14 @@
 var outcomeNames = map[string]Outcome{"ok": OK, "errored": Errored, "full": Full, "timed-out": TimedOut,
 	"no-connection": NoConnection, "broken-off": BrokenOff, "stopped": Stopped, "moot": Moot}
 
-func parse(t *testing.T, words []string) Event {
+type repeated struct {
+	Event
+	times int
+}
+
+func parse(t *testing.T, words []string) repeated {
 	t.Helper()
-	e := Event{Kind: eventNames[words[0]], Size: 1}
+	e := repeated{Event: Event{Kind: eventNames[words[0]], Size: 1}}
 	if e.Kind == 0 {
 		t.Fatal("unknown event", words)
 	}
@@ -152,6 +170,8 @@
 			e.Outcome = outcomeNames[w]
 		case !named:
 			e.ID, _ = strconv.ParseUint(w, 10, 64)
+		case k == "times":
+			e.times = n
 		case k == "handler":
 			e.Handler = n
 		case k == "customer":
