--- a/overload/overload.go
+++ b/overload/overload.go
@@ -6,7 +6,7 @@
 //
 // Beside the design:
 //  1. lines: each handler has a line, lines take turns by weight; what can't make its target is shed at once
-//  2. advice: when to come back, whether to try elsewhere, and the signal in each of its meanings
+//  2. advice: when to come back, whether to try elsewhere, the signal in each meaning, idle connections
 //  3. watch: nothing passes its due time, and nothing that can't earn any more keeps cores busy
 //  4. keys: uniqued reqs are remembered, repeats answered from their forerunner
 //  5. calls: those in hand are bounded, timed out and not repeated
@@ -44,7 +44,7 @@
 	bucket        = 500 * time.Millisecond // width of a bucket; ten make the window of 5 s
 	finishBy      = 0.85                   // share of the target at which work admitted should be done
 	overShare     = 0.4                    // the same share for a customer over its share
-	stillFinish   = 0.9                    // part of the expected time a lucky run takes: below it is hopeless
+	stillFinish   = 0.9                    // part of the expected time that a run takes at least
 	startHold     = 4.0                    // held reqs a core before any run has been timed
 	shareSlack    = 1.25                   // customers' shares are for the fleet; so much spread is normal
 	shareBurst    = 2.0                    // seconds of a customer's share that may come at once
@@ -156,8 +156,7 @@
 	gBusy, gRunnable                            int
 	left, stop                                  time.Duration // the notice, and when the process stops
 
-	mem, cap, turn              float64
-	ratioTokens, rateTokens     float64
+	mem, cap, turn, ratioTokens float64
 	done                        [memWindow]float64
 	doneN, hot                  int // runs done; ticks in a row over a threshold
 	busy, runnable, wanting     float64
@@ -166,7 +165,7 @@
 	stuck, armed                bool
 	keep, wantKeep              time.Duration // connections idle for longer are closed, 0 as usual
 	edges, refused              float64       // edge nodes told at the start; recent share of reqs shed
-	open, sent                  float64
+	open, sent, rateTokens      float64
 	health, told                bool
 	patience                    float64 // share of the client timeout a caller waits, 0 unknown
 	late                        float64 // recent time unread, in seconds
@@ -270,7 +269,8 @@
 	}
 }
 
-// onCores is how many runs want a core; waits for disk show in the gauge alone (incidents i43a6e6, i4d5678).
+// onCores is how many runs want a core; waits for disk show in the gauge alone. Guards against idle cores at a
+// full cap (incidents i43a6e6, i4d5678). Harm: a gauge far behind lets a crowd begin, up to the bound.
 func (c *Controller) onCores() float64 {
 	if c.gRunnable < 0 {
 		return float64(c.n[running])
