--- a/overload/overload.go
+++ b/overload/overload.go
@@ -269,8 +269,8 @@
 	}
 }
 
-// onCores is how many runs want a core; waits for disk show in the gauge alone. Guards against idle cores at a
-// full cap (incidents i43a6e6, i4d5678). Harm: a gauge far behind lets a crowd begin, up to the bound.
+// onCores is how many runs want a core; waits for disk show in the gauge alone. Guards against idle cores at
+// a full cap (incidents i43a6e6, i4d5678). Harm: a gauge far behind lets a crowd begin, up to the bound.
 func (c *Controller) onCores() float64 {
 	if c.gRunnable < 0 {
 		return float64(c.n[running])
