--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -27,6 +27,10 @@
 		{"unknown kinds and fields are skipped", batch(up + `{"kind":"novel","who":9}` + "\n" +
 			strings.Replace(query, `"txn"`, `"new":[1],"txn"`, 1)), started + life + end, ""},
 		{"killed and up again in one batch", batch(up + query + `{"kind":"killed","who":3}` + "\n" + up), life + end, ""},
+		{"connections", batch(strings.Replace(up, `"cores":1`, `"cores":1,"senders":100`, 1)) +
+			strings.Replace(batch(`{"kind":"tickDue","who":3,"handle":1}`+"\n"), "1000", "101000", 1), life + end +
+			`{"kind":"closeIdle","who":3,"keepForUs":200000}` + "\n" +
+			`{"kind":"sleep","who":3,"whenUs":126000,"handle":1}` + "\n" + end, ""},
 		{"late news", batch(up + `{"kind":"result","who":3,"txn":8,"verdict":"Ignored"}` + "\n"), life + end, ""},
 		{"not JSON", batch("admit\n"), "", "batch 5: a line is not JSON"},
 		{"not an object", batch("[1]\n"), "", "batch 5: a line is not an object"},
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -103,16 +103,15 @@
 	fore                 *req    // what it repeats
 	owed                 int     // repeats that wait for this one
 
-	at, want              place         // present and wanted place
-	out, wantOut          ActionKind    // final answer given and wanted: Shed, Error or none
-	key, wantKey          time.Duration // remembered until
-	ran, touched          bool
-	started, callTime     time.Duration
-	calledAt, stopSent    time.Duration
-	score                 int // trackers breached
-	cpu, callFor          time.Duration
-	retryAfter            time.Duration
-	dontRetry, gone, quit bool
+	at, want               place         // present and wanted place
+	out, wantOut           ActionKind    // final answer given and wanted: Shed, Error or none
+	key, wantKey           time.Duration // remembered until
+	ran, touched           bool
+	started, callTime, cpu time.Duration
+	calledAt, stopSent     time.Duration
+	score                  int // trackers breached
+	callFor, retryAfter    time.Duration
+	dontRetry, gone, quit  bool
 }
 
 type handler struct {
@@ -156,7 +155,8 @@
 	gBusy, gRunnable                            int
 	left, stop                                  time.Duration // the notice, and when the process stops
 
-	mem, cap, turn, ratioTokens float64
+	mem, cap, turn, open, sent  float64
+	ratioTokens, rateTokens     float64
 	done                        [memWindow]float64
 	doneN, hot                  int // runs done; ticks in a row over a threshold
 	busy, runnable, wanting     float64
@@ -165,7 +165,6 @@
 	stuck, armed                bool
 	keep, wantKeep              time.Duration // connections idle for longer are closed, 0 as usual
 	edges, refused              float64       // edge nodes told at the start; recent share of reqs shed
-	open, sent, rateTokens      float64
 	health, told                bool
 	patience                    float64 // share of the client timeout a caller waits, 0 unknown
 	late                        float64 // recent time unread, in seconds
@@ -299,6 +298,8 @@
 	c.stuck = now-c.progress > stuckAfter
 }
 
+func (c *Controller) duress() bool { return c.hot >= breaches }
+
 func (c *Controller) observe(now, span time.Duration) {
 	if c.busy >= busyLimit || c.mem >= memLimit*c.memory {
 		c.hot++
@@ -306,7 +307,7 @@
 		c.hot = 0
 	}
 	c.rateTokens = math.Min(dropBurst, c.rateTokens+dropRate*float64(span/time.Millisecond))
-	if c.hot < breaches {
+	if !c.duress() {
 		return
 	}
 	var found []*req
@@ -657,7 +658,7 @@
 		c.giveUp(r)
 	case r.want == held && (late || c.hopeless(now, r)):
 		c.refuse(r, minRetryAfter)
-	case late && (r.want == waiting || r.want == running && c.hot >= breaches && c.n[held] > 0):
+	case late && (r.want == waiting || r.want == running && c.duress() && c.n[held] > 0):
 		c.giveUp(r)
 	}
 }
