--- a/overload/overload.go
+++ b/overload/overload.go
@@ -61,7 +61,8 @@
 	minRetryAfter = 100 * time.Millisecond // less is no advice
 	patiencePace  = 0.1                    // weight of one given-up try in a caller's patience: ten settle it
 	lateNew       = 0.1                    // weight of one arrival's time unread: some ten arrivals count
-	lateKeep      = 0.98                   // of that a tick, so that it fades where nothing comes
+	fade          = 0.98                   // of that and of an edge node's arrivals kept a tick: 5 s count
+	forgotten     = 0.01                   // of one arrival: an edge node seen so long ago is let go
 	signalPace    = 0.2                    // relative change of the wanted load a tick for a unit of pressure
 	signalDown    = 0.93                   // least factor a tick: halved in a second, as long as it is kept
 	signalUp      = 1.05                   // greatest factor a tick: slower up than down
@@ -103,15 +104,14 @@
 	fore                 *req    // what it repeats
 	owed                 int     // repeats that wait for this one
 
-	at, want               place         // present and wanted place
-	out, wantOut           ActionKind    // final answer given and wanted: Shed, Error or none
-	key, wantKey           time.Duration // remembered until
-	ran, touched           bool
-	started, callTime, cpu time.Duration
-	calledAt, stopSent     time.Duration
-	score                  int // trackers breached
-	callFor, retryAfter    time.Duration
-	dontRetry, gone, quit  bool
+	at, want                                place         // present and wanted place
+	out, wantOut                            ActionKind    // final answer given and wanted: Shed, Error or none
+	key, wantKey                            time.Duration // remembered until
+	ran, touched                            bool
+	score                                   int // trackers breached
+	started, callTime, cpu                  time.Duration
+	calledAt, stopSent, callFor, retryAfter time.Duration
+	dontRetry, gone, quit                   bool
 }
 
 type handler struct {
@@ -149,35 +149,34 @@
 	cores, memory, runFactor, keySize           float64
 	fall, coldFrom, share                       float64
 	coldFor, grace, linger, callsOver, maxRetry time.Duration
-	started, batch, shareFor                    time.Duration
+	started, batch, shareFor, left, stop        time.Duration // left is the notice, stop when the process stops
 	canStop, cold, retryAdvice, leaving         bool
 	below, signal                               string
 	gBusy, gRunnable                            int
-	left, stop                                  time.Duration // the notice, and when the process stops
-
-	mem, cap, turn, open, sent  float64
-	ratioTokens, rateTokens     float64
-	done                        [memWindow]float64
-	doneN, hot                  int // runs done; ticks in a row over a threshold
-	busy, runnable, wanting     float64
-	begun                       float64 // runs since the last look
-	progress, lastTick          time.Duration
-	stuck, armed                bool
-	keep, wantKeep              time.Duration // connections idle for longer are closed, 0 as usual
-	edges, refused              float64       // edge nodes told at the start; recent share of reqs shed
-	health, told                bool
-	patience                    float64 // share of the client timeout a caller waits, 0 unknown
-	late                        float64 // recent time unread, in seconds
-	callTook, callBase, callCap float64 // usual and least call time in seconds; bound in hand
-	inHand                      ring
-	inHandAt                    time.Duration
+
+	mem, cap, turn, open, sent   float64
+	ratioTokens, rateTokens      float64
+	done                         [memWindow]float64
+	doneN, hot                   int // runs done; ticks in a row over a threshold
+	busy, runnable, wanting      float64
+	begun                        float64 // runs since the last look
+	progress, lastTick, inHandAt time.Duration
+	stuck, armed, health, told   bool
+	keep, wantKeep               time.Duration   // connections idle for longer are closed, 0 as usual
+	edges, spread                float64         // edge nodes told, and as if each were as busy as the busiest
+	from                         map[int]float64 // recent arrivals of each
+	came, refused                float64         // those of all; recent share of reqs shed
+	patience                     float64         // share of the client timeout a caller waits, 0 unknown
+	late                         float64         // recent time unread, in seconds
+	callTook, callBase, callCap  float64         // usual and least call time in seconds; bound in hand
+	inHand                       ring
 }
 
 // New returns the controller of a server that has just come up.
 func New(seed uint64, settings map[string]any, now time.Duration) *Controller {
 	b, rules := get[map[string]any](settings, "backend", nil), get[map[string]any](settings, "rules", nil)
-	c := &Controller{reqs: map[uint64]*req{}, lapsed: map[uint64]time.Duration{}, started: now, progress: now,
-		lastTick: now, inHandAt: now, open: 1}
+	c := &Controller{reqs: map[uint64]*req{}, lapsed: map[uint64]time.Duration{}, from: map[int]float64{},
+		started: now, progress: now, lastTick: now, inHandAt: now, stop: math.MaxInt64, open: 1}
 	c.chance.seed(seed)
 	c.cores, c.memory = math.Max(1, get(b, "cores", 1.0)), get(b, "memory", math.Inf(1))
 	c.runFactor, c.keySize = math.Max(1, get(b, "run_factor", 1.0)), get(b, "key_size", 0.0)
@@ -186,6 +185,7 @@
 	c.share, c.callsOver = get(b, "calls_share", 0.0), get(b, "calls_over", 5*time.Second)
 	c.linger, c.shareFor = get(b, "linger", time.Duration(0)), get(b, "share_for", time.Duration(0))
 	c.cold, c.edges = get(b, "cold", false), get(b, "callers", 0.0)
+	c.spread = c.edges
 	c.fall, c.coldFrom = get(rules, "fall_multiple", math.Inf(1)), get(rules, "cold_from", 1.0)
 	c.coldFor, c.grace = get(rules, "cold_for", time.Duration(0)), get(rules, "drain_grace", time.Duration(0))
 	limits := get[map[string]any](settings, "limits", nil)
@@ -227,7 +227,13 @@
 			c.arrive(now, e)
 		case e.Kind == Timer:
 			c.armed = false
-			c.gauge(e.Gauges)
+			c.busy, c.runnable, c.begun = 0, 0, 0
+			if c.gBusy >= 0 && c.gBusy < len(e.Gauges) {
+				c.busy = e.Gauges[c.gBusy]
+			}
+			if c.gRunnable >= 0 && c.gRunnable < len(e.Gauges) {
+				c.runnable = e.Gauges[c.gRunnable]
+			}
 			if now-c.lastTick >= tick {
 				c.onTick(now)
 			}
@@ -257,19 +263,8 @@
 
 // ---- the design: observe, duress, drop, adapt ----
 
-func (c *Controller) gauge(gauges []float64) {
-	c.busy, c.runnable, c.begun = 0, 0, 0
-	for i, g := range gauges {
-		if i == c.gBusy {
-			c.busy = g
-		} else if i == c.gRunnable {
-			c.runnable = g
-		}
-	}
-}
-
 // onCores is how many runs want a core; waits for disk show in the gauge alone. Guards against idle cores at
-// a full cap (incidents i43a6e6, i4d5678). Harm: a gauge far behind lets a crowd begin, up to the bound.
+// a full cap (i43a6e6, i4d5678). Harm: a gauge far behind lets a crowd begin, up to the bound.
 func (c *Controller) onCores() float64 {
 	if c.gRunnable < 0 {
 		return float64(c.n[running])
@@ -290,8 +285,7 @@
 	c.observe(now, span)
 	c.adapt(now)
 	c.expire(now)
-	// Stuck work (a hang, a machine far too slow): more reqs would only share its fate. One long run beside a
-	// free core is none. Harm: runs on all cores that are rightly longer shed their followers.
+	// Stuck work (a hang): more reqs would share its fate. Harm: rightly longer runs on all cores count too.
 	if float64(c.n[running]) < c.cores {
 		c.progress = max(c.progress, now-tick)
 	}
@@ -326,15 +320,13 @@
 			continue
 		}
 		r.score = 0
-		if now-r.started >= time.Duration(elapsedShare*float64(r.h.timeout)) {
-			r.score++
-		}
-		if r.cpu >= time.Duration(cpuShare*float64(r.h.timeout)) {
-			r.score++
-		}
-		mem := c.weigh(r, running)
-		if all >= memAll*c.memory && count == memWindow && mem >= memEach*c.memory && mem >= memOver*average {
-			r.score++
+		mem, limit := c.weigh(r, running), float64(r.h.timeout)
+		heavy := mem >= memEach*c.memory && mem >= memOver*average && all >= memAll*c.memory && count == memWindow
+		long, busy := float64(now-r.started) >= elapsedShare*limit, float64(r.cpu) >= cpuShare*limit
+		for _, breach := range [...]bool{long, busy, heavy} {
+			if breach {
+				r.score++
+			}
 		}
 		if r.score > 0 {
 			found = append(found, r)
@@ -361,8 +353,7 @@
 			h.base = math.Min(cmp.Or(h.base*baseForget, m), m)
 		}
 	}
-	// Latency hides how crowded the cores are where reqs mostly wait for disk; what wants a core tells. One is
-	// free only if fewer want one than there are: with two cores one more run is a third of the crowd.
+	// Latency hides a crowd where reqs mostly wait for disk; what wants a core tells, and whether one is free.
 	c.wanting += capSmooth * (c.onCores() - c.wanting)
 	if c.busy < busyLimit && c.runnable < c.cores {
 		if c.n[held] > 0 {
@@ -374,9 +365,8 @@
 	}
 	c.cap = math.Max(c.cores, math.Min(c.cap, c.crowd(now)))
 
-	// Guards against a table full of connections of no further use, which taxes the cores and has no place for
-	// newcomers. Harm: where a new connection costs far more than some seconds of its place.
-	// In a flood it may fill until that is well over: a place it lacks refuses without a read (h7a8613).
+	// Guards against a table full of idle connections, which taxes the cores and has no room for newcomers. In
+	// a flood it may fill: no room refuses unread (h7a8613). Harm: where a new connection costs far more.
 	limit := ebbed
 	if c.wantKeep > 0 {
 		limit = flooded
@@ -395,13 +385,25 @@
 		c.callCap = math.Min(c.callCap+1, c.cores*callsEach)
 	}
 
+	most := 0.0
+	for k, v := range c.from { // only a maximum and removal: the order does not matter
+		most = math.Max(most, v)
+		if c.from[k] = v * fade; v < forgotten {
+			delete(c.from, k)
+		}
+	}
+	if most > 0 {
+		c.spread += capSmooth * (math.Min(c.edges, c.came/most) - c.spread)
+	}
+	c.came *= fade
+
 	// The wanted load follows how full the time for waiting is, slowly: who leave at once come back at once.
 	worst := 0.0
 	for _, h := range c.handlers {
 		room := finishBy*h.target.Seconds() - h.expected(now, 1)
 		worst = math.Max(worst, (c.wait(now, h)+c.late)/math.Max(0.01, room))
 	}
-	c.late *= lateKeep
+	c.late *= fade
 	c.open *= math.Max(signalDown, math.Min(signalUp, 1+signalPace*(pressed-worst)))
 	c.open = math.Max(signalMin, math.Min(c.warmth(now), c.open))
 }
@@ -452,15 +454,15 @@
 	if e.Left == 0 && c.patience > 0 && h.replayable() {
 		r.target = min(r.target, r.arrived+time.Duration(c.patience*float64(h.timeout)))
 	}
-	if c.leaving {
-		r.due = min(r.due, c.stop)
-	}
+	r.due = min(r.due, c.stop)
 	c.reqs[e.ID] = r
 	c.all = append(c.all, r)
 	c.n[held]++
 	h.held++
 	c.mem += r.size
 	h.came.add(now, 1)
+	c.from[e.Caller]++
+	c.came++
 	c.late += lateNew * (e.Unread.Seconds() - c.late)
 	share := finishBy
 	if e.Customer >= 0 && e.Customer < len(c.customers) && !c.customers[e.Customer].take(now) {
@@ -610,8 +612,7 @@
 // ---- advice ----
 
 // refuse sheds a req that never ran, and tells the caller when to come back. With the wanted load down a try
-// elsewhere likely costs one more read, many on a long list, and comes to nothing. Guards against storms of
-// tries, whatever began them; harms where only this server is slow and others have room.
+// elsewhere likely costs a read for nothing: guards against storms; harms where only this server is slow.
 func (c *Controller) refuse(r *req, after time.Duration) {
 	if c.retryAdvice {
 		spread := seconds(after.Seconds() * (0.5 + c.chance.float())) // not all back at once
@@ -632,8 +633,9 @@
 	case "floor":
 		return 1 - open
 	case "allowance":
-		// This server's room over the edge nodes. Where they are many each has one req here at most: a chance.
-		return open * math.Max(1, (c.cap+c.cores)/math.Max(1, c.edges))
+		// This server's room over the edge nodes. Split evenly it starves the busiest while cores are free, and
+		// no work is held that would tell. Harm: edge nodes that all turn busy at once find too much room.
+		return open * math.Max(1, (c.cap+c.cores)/math.Max(1, c.spread))
 	}
 	return open
 }
@@ -691,8 +693,7 @@
 	}
 }
 
-// learn corrects the patience of callers. Where no time left is told, those that try again give up a try long
-// before the client timeout. Given-up tries tell; a done req that waited longer proves more.
+// learn corrects the patience of callers: who tries again gives a try up long before the client timeout.
 func (c *Controller) learn(now time.Duration, r *req, gaveUp bool) {
 	f := (now - r.arrived).Seconds() / r.h.timeout.Seconds()
 	if gaveUp || c.patience > 0 && f > c.patience {
@@ -814,9 +815,8 @@
 }
 
 // mayCall tells how long a call of this req may last, 0 that it has to wait. Guards against a dependency that
-// turns slow with all calls in hand (incident i502e29): they may stay for their time-out, so that is cut to
-// what is left of this server's share of call-seconds; given-up calls linger and count. Harm: after many
-// failed calls the next ones wait for the window to pass, also where the dependency is well again.
+// turns slow with all calls in hand (i502e29): a time-out is cut to what is left of this server's share of
+// call-seconds, given-up ones included. Harm: after many failed calls the next wait though all is well again.
 func (c *Controller) mayCall(now time.Duration, r *req) time.Duration {
 	hand := float64(c.n[calling] + 1)
 	if hand > math.Min(callsEach*c.cores, c.crowd(now)) {
--- a/overload/trace_test.go
+++ b/overload/trace_test.go
@@ -174,6 +174,8 @@
 			e.times = n
 		case k == "handler":
 			e.Handler = n
+		case k == "caller":
+			e.Caller = n
 		case k == "customer":
 			e.Customer = n
 		case k == "left":
