--- a/backend/backend.go
+++ b/backend/backend.go
@@ -18,6 +18,8 @@
 	tidyEvery   = 100 * time.Millisecond // between looks at idle connections
 	closeBefore = 300 * time.Millisecond // of the stop: time for what crosses the closing
 	exitBefore  = 100 * time.Millisecond // of the stop: time to end the process
+	lookLeaving = 10 * time.Millisecond  // between looks at what may be closed in between
+	outShare    = 0.2                    // of the memory limit, for answers that edge nodes leave
 	spare       = 16                     // descriptors kept for the processor, calls, reports and the runtime
 	crowdedAt   = 0.8                    // part of the connections from which idle ones are closed early
 	startSpan   = time.Hour              // how far back a processor may have started: times stay positive
@@ -108,6 +110,9 @@
 // Serve runs the backend until ctx is done and all that was read is answered. It may be called once.
 func (b *Backend) Serve(ctx context.Context) error {
 	defer close(b.stopped)
+	if b.cfg.Limits.MemoryMB > 0 {
+		b.box.Most = int(outShare * b.cfg.Limits.MemoryMB * (1 << 20))
+	}
 	ln, err := b.box.Listen(b.cfg.Listen, b.cfg.Limits.Sockets-spare, b.front.accept, func() { b.turned.Add(1) })
 	if err != nil {
 		return err
@@ -137,6 +142,7 @@
 		b.box.Turn()
 		b.lookAtTime()
 		b.decide()
+		b.lease.report(b)
 		if b.finished() {
 			b.box.Flush(t)
 			b.log.Info("left", "counters", b.counters())
@@ -181,13 +187,12 @@
 	}
 	b.link.lookAtTime()
 	b.tier.lookAtTime()
-	b.lease.lookAtTime(b)
 	if b.now >= b.tidyAt {
 		b.tidyAt = b.now + tidyEvery
 		b.front.tidy()
 	}
 	b.at(b.tidyAt)
-	if b.leaving {
+	if b.leaving && b.now < b.stopAt-closeBefore {
 		b.at(b.stopAt - closeBefore)
 	}
 }
@@ -212,14 +217,13 @@
 }
 
 // come makes the controller once the processor is up.
-func (b *Backend) come(cold bool, age time.Duration) {
-	started := b.now - min(age, b.now)
+func (b *Backend) come(cold bool, started time.Duration) {
 	s := b.cfg.Settings
 	if part, ok := s["backend"].(map[string]any); ok {
 		part["cold"] = cold
 	}
 	b.ctl = overload.New(b.cfg.Seed, s, started)
-	b.log.Info("processor is up", "cold", cold, "age", age.Round(time.Millisecond))
+	b.log.Info("processor is up", "cold", cold, "age", (b.now - started).Round(time.Millisecond))
 	b.timerEvent() // the first reply has the health, the signal and the first wake
 }
 
@@ -237,7 +241,7 @@
 	}
 	b.closeListener()
 	b.front.closeIdle()
-	b.at(b.now + 10*time.Millisecond)
+	b.at(min(b.now+lookLeaving, b.stopAt-exitBefore))
 	return b.now >= b.stopAt-exitBefore || b.ctl == nil
 }
 
--- a/backend/front.go
+++ b/backend/front.go
@@ -18,12 +18,14 @@
 	sizeMost   = 2000.0           // kilobytes booked for a req, by the protocol
 	unreadMost = 10 * time.Minute // a req older than this is as late as one can be
 	trialWait  = time.Second      // for a deep health check: edge nodes wait no longer
-	outMost    = 1 << 20          // bytes of answers that one edge node may leave: 32 are 140 KB
+	outMost    = 192 << 10        // bytes of answers that one edge node may leave: 32 of the longest are 140 KB
+	partMost   = 10 * time.Second // for a req to come whole: its client has gone by then
 )
 
 var (
 	errCrowded = errors.New("idle, and the place is needed")
 	errIdle    = errors.New("idle")
+	errPart    = errors.New("a req does not come whole")
 )
 
 // front is the side of the edge nodes.
@@ -287,7 +289,11 @@
 				f.health(e, slot, k.keep, false)
 			}
 		}
-		if e.p.Open() == 0 && e.c.Pending() == 0 {
+		if e.p.Open() > len(e.open)+len(e.checks) && b.now-e.used >= partMost {
+			b.count.BadConns++
+			b.note("bad connection", "from", "edge node", "why", errPart)
+			e.c.Close(errPart)
+		} else if e.p.Open() == 0 && e.c.Pending() == 0 {
 			if b.keep > 0 && b.now-e.used >= b.keep {
 				b.count.ConnsTrimmed++
 				e.c.Close(errIdle)
--- a/backend/lease.go
+++ b/backend/lease.go
@@ -13,6 +13,7 @@
 type lease struct {
 	c    net.Conn
 	next time.Duration
+	said bool // ready
 	buf  []byte
 }
 
@@ -31,13 +32,14 @@
 	}
 }
 
-func (l *lease) lookAtTime(b *Backend) {
+// report tells the control plane, in time and at once what has changed.
+func (l *lease) report(b *Backend) {
 	if l.c == nil {
 		return
 	}
-	if b.now >= l.next {
-		l.next = b.now + reportEvery
-		l.buf = control.AppendLease(l.buf[:0], b.cfg.Name, b.good && b.ctl != nil)
+	if ready := b.good && b.ctl != nil; b.now >= l.next || ready != l.said {
+		l.next, l.said = b.now+reportEvery, ready
+		l.buf = control.AppendLease(l.buf[:0], b.cfg.Name, ready)
 		if _, err := l.c.Write(l.buf); err == nil {
 			b.count.Reports++
 		}
--- a/backend/link.go
+++ b/backend/link.go
@@ -20,13 +20,15 @@
 // proves that all before it arrived, and that all notices of before were read.
 type link struct {
 	b       *Backend
-	c       *conn.Conn // nil while there is none
-	up      bool       // hi was read on this one
-	last    uint64     // the last notice that was read
-	tag     uint64     // of the last question, for gauges or a trial
-	acked   uint64     // the last question for gauges that was answered
-	resync  uint64     // this one's answer ends the resumption; 0 it has ended
-	trials  []uint64   // asked and not told
+	c       *conn.Conn    // nil while there is none
+	up      bool          // hi was read on this one
+	last    uint64        // the last notice that was read
+	tag     uint64        // of the last question, for gauges or a trial
+	acked   uint64        // the last question for gauges that was answered
+	age     time.Duration // of the processor, as told last
+	probes  int           // reqs whose begin is being probed
+	resync  uint64        // this one's answer ends the resumption; 0 it has ended
+	trials  []uint64      // asked and not told
 	dialing bool
 	dialAt  time.Duration
 	wait    time.Duration
@@ -147,6 +149,7 @@
 		}
 		if n.N != l.last+1 {
 			b.note("notices missing", "after", l.last, "got", n.N)
+			l.lost()
 		}
 		l.last = n.N
 	}
@@ -178,8 +181,13 @@
 	b := l.b
 	l.up, l.wait = true, redial
 	if b.ctl == nil {
-		b.come(n.Cold, n.Took)
+		b.come(n.Cold, b.now-min(n.Took, b.now))
+	} else if n.Took < l.age { // however long the word lay unread, one that goes on has grown older
+		b.note("processor started anew", "age", n.Took)
+		l.lost()
+		l.last = 0
 	}
+	l.age = n.Took
 	for _, t := range l.trials {
 		l.write(processor.AppendTrial(nil, t))
 	}
@@ -210,9 +218,22 @@
 		l.resync = 0
 		l.resume(before)
 	}
-	for _, r := range b.known() {
-		if r.probe > 0 && n.Tag >= r.probe {
-			l.neverRan(r)
+	if l.probes > 0 {
+		for _, r := range b.known() {
+			if r.probe > 0 && n.Tag >= r.probe {
+				l.neverRan(r)
+			}
+		}
+	}
+}
+
+// lost follows the loss of notices: the runs may have ended or not, and can't be known any more. None is
+// repeated; what of them still runs is stopped.
+func (l *link) lost() {
+	for _, r := range l.b.known() {
+		if r.at != held && r.sent {
+			l.interrupt(r)
+			l.b.ended(r, overload.Errored, 0, nil)
 		}
 	}
 }
@@ -249,6 +270,7 @@
 			l.begin(r)
 		case doubt && !r.seen:
 			l.interrupt(r)
+			l.probes++
 			r.probe, probed = l.tag+1, true
 		case r.stop:
 			l.interrupt(r)
@@ -265,6 +287,7 @@
 // neverRan follows the proof that a begin was lost.
 func (l *link) neverRan(r *req) {
 	b := l.b
+	l.probes--
 	r.probe, r.stop = 0, false
 	if !b.owes(r) {
 		b.ended(r, overload.Moot, 0, nil)
--- a/backend/main.go
+++ b/backend/main.go
@@ -6,6 +6,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"frosthub/internal/conn"
 )
 
 // Main runs one backend as a process: configuration from the environment, log on standard error, SIGTERM to
@@ -19,6 +21,7 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	conn.SetLog(log)
 	b := New(cfg, log)
 	usr1 := make(chan os.Signal, 1)
 	signal.Notify(usr1, syscall.SIGUSR1)
--- a/backend/req.go
+++ b/backend/req.go
@@ -137,6 +137,9 @@
 func (b *Backend) ended(r *req, how overload.Outcome, took time.Duration, body []byte) {
 	b.count.Ended++
 	b.tier.cancel(r)
+	if r.probe > 0 {
+		b.link.probes--
+	}
 	if b.owes(r) {
 		if how == overload.OK {
 			b.count.Done++
--- /dev/null
+++ b/backend/stand_test.go
@@ -0,0 +1,323 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// quiet is how long nothing must happen before a step is over: far longer than anything here takes.
+const quiet = 60 * time.Millisecond
+
+// stage has a backend and stand-ins for all that it talks to. Each prints what it gets.
+type stage struct {
+	t         *testing.T
+	mu        sync.Mutex
+	lines     []string // "party: text", in the order that each party saw them
+	last      time.Time
+	b         *Backend
+	leave     context.CancelFunc
+	processor *peer
+	tier      *peer
+	edges     map[string]*edgeNode
+	listen    string
+	n         int // notices sent
+}
+
+func (s *stage) print(party, format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = append(s.lines, party+": "+fmt.Sprintf(format, args...))
+	s.last = time.Now()
+}
+
+// settle waits until nothing happens any more and gives what was printed, by party.
+func (s *stage) settle() []string {
+	s.mu.Lock()
+	s.last = time.Now()
+	s.mu.Unlock()
+	for {
+		time.Sleep(quiet / 6)
+		s.mu.Lock()
+		if time.Since(s.last) >= quiet {
+			out := s.lines
+			s.lines = nil
+			s.mu.Unlock()
+			slices.SortStableFunc(out, func(x, y string) int {
+				return strings.Compare(strings.SplitN(x, ":", 2)[0], strings.SplitN(y, ":", 2)[0])
+			})
+			return out
+		}
+		s.mu.Unlock()
+	}
+}
+
+// peer is a stand-in that listens: the processor or the next tier.
+type peer struct {
+	s    *stage
+	name string
+	ln   net.Listener
+	mu   sync.Mutex
+	c    net.Conn
+	mute bool // the processor does not answer for the gauges
+	got  int  // commands of the link that stands
+}
+
+func newPeer(s *stage, name string) *peer {
+	p := &peer{s: s, name: name}
+	p.open("127.0.0.1:0")
+	return p
+}
+
+func (p *peer) open(address string) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		p.s.t.Error(err)
+		return
+	}
+	p.ln = ln
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.c = c
+			p.mu.Unlock()
+			go p.read(c)
+		}
+	}()
+}
+
+// bodies tells which commands carry one, and which of their words change from run to run.
+var bodies = map[string]bool{"begin": true, "answer": true, "invoke": true}
+
+func (p *peer) read(c net.Conn) {
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		words := strings.Fields(line)
+		if words[0] == "usage" {
+			p.mu.Lock()
+			if !p.mute {
+				fmt.Fprintf(c, "used %s 0.1 0 0.01 3\r\n", words[1])
+			}
+			p.mu.Unlock()
+			continue
+		}
+		if bodies[words[0]] {
+			n, _ := strconv.Atoi(words[len(words)-1])
+			body := make([]byte, n+2)
+			if _, err := io.ReadFull(r, body); err != nil {
+				return
+			}
+			words[len(words)-1] = quoted(string(body[:n]))
+		}
+		if words[0] == "invoke" {
+			words = slices.Delete(words, 2, 3) // the time-out
+		}
+		p.s.print(p.name, "%s", strings.Join(words, " "))
+	}
+}
+
+func quoted(body string) string {
+	if len(body) > 80 {
+		return fmt.Sprintf("%q... of %d bytes", body[:8], len(body))
+	}
+	return strconv.Quote(body)
+}
+
+func (p *peer) write(text string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.c == nil {
+		p.s.t.Error("nobody has connected to the", p.name)
+		return
+	}
+	_, _ = io.WriteString(p.c, text)
+}
+
+func (p *peer) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.c != nil {
+		_ = p.c.Close()
+	}
+}
+
+// edgeNode is one connection of an edge node.
+type edgeNode struct {
+	c    net.Conn
+	held bool // reads nothing
+}
+
+func record(kind byte, slot uint16, content string) string {
+	head := []byte{1, kind, 0, 0, 0, 0, 3, 0}
+	binary.BigEndian.PutUint16(head[2:], slot)
+	binary.BigEndian.PutUint16(head[4:], uint16(len(content)))
+	return string(head) + content + "pad"
+}
+
+func pair(name, value string) string {
+	b := []byte{byte(len(name))}
+	if len(value) < 128 {
+		b = append(b, byte(len(value)))
+	} else {
+		b = binary.BigEndian.AppendUint32(b, uint32(len(value))|1<<31)
+	}
+	return string(b) + name + value
+}
+
+// request gives the records of a req; fields overwrite the usual ones, "-" leaves one out.
+func request(slot uint16, fields map[string]string) string {
+	all := map[string]string{"REQUEST_METHOD": "POST", "SCRIPT_NAME": "/invoke/status", "HTTP_X_CALLER": "4",
+		"HTTP_X_REQUEST_ID":    fmt.Sprintf("%016x", slot),
+		"HTTP_X_REQUEST_START": strconv.FormatInt(time.Now().UnixMilli(), 10),
+		"HTTP_X_COST_MS":       "12.50", "HTTP_X_MEMORY_KB": "24.5", "HTTP_X_RANK": "0.6250"}
+	for k, v := range fields {
+		all[k] = v
+	}
+	body := all["body"]
+	delete(all, "body")
+	var params strings.Builder
+	for k, v := range all {
+		if v != "-" {
+			params.WriteString(pair(k, v))
+		}
+	}
+	p, half := params.String(), params.Len()/2
+	out := record(1, slot, "\x00\x01\x01\x00\x00\x00\x00\x00") + record(4, slot, p[:half]) + record(4, slot, p[half:]) +
+		record(4, slot, "")
+	if body != "" {
+		out += record(5, slot, body)
+	}
+	return out + record(5, slot, "")
+}
+
+func (s *stage) edge(name string) *edgeNode {
+	e := s.edges[name]
+	if e == nil {
+		c, err := net.Dial("tcp", s.listen)
+		if err != nil {
+			s.print("edge "+name, "refused")
+			return &edgeNode{c: nil}
+		}
+		e = &edgeNode{c: c}
+		s.edges[name] = e
+		go s.readEdge(name, c)
+	}
+	return e
+}
+
+// readEdge prints each answer, its fields in order, and the end of the connection.
+func (s *stage) readEdge(name string, c net.Conn) {
+	out := map[uint16]string{}
+	r := bufio.NewReader(c)
+	for {
+		head := make([]byte, 8)
+		if _, err := io.ReadFull(r, head); err != nil {
+			s.print("edge "+name, "connection closed")
+			return
+		}
+		slot, content := binary.BigEndian.Uint16(head[2:]), make([]byte, binary.BigEndian.Uint16(head[4:]))
+		_, _ = io.ReadFull(r, content)
+		switch head[1] {
+		case 6:
+			out[slot] += string(content)
+		case 3:
+			fields, body, _ := strings.Cut(out[slot], "\r\n\r\n")
+			delete(out, slot)
+			words := strings.Split(fields, "\r\n")
+			for i, w := range words { // their values hang on the moment
+				if k, _, _ := strings.Cut(w, ": "); k == "Retry-After-Ms" || k == "X-Load-Signal" {
+					words[i] = k
+				}
+			}
+			s.print("edge "+name, "%d ends with %d, %s, %s", slot, content[4], strings.Join(words, ", "), quoted(body))
+		default:
+			s.print("edge "+name, "record %d: %s", head[1], hex.EncodeToString(content))
+		}
+	}
+}
+
+const testConfig = `{"name":"n3","listen":"%s","processor":"%s","control":"%s","backend":"%s","seed":"8c1f30d27a5be964",
+"stop_ms":%s,"limits":{"cores":1.0,"memory_mb":192,"sockets":%s},"settings":{"servers":2,"tickUs":1000,
+"classes":[{"name":"status","credit":1,"giveUpUs":1500000,"goalTimeUs":900000,"idempotency":"retryable"},
+{"name":"file-claim","credit":3,"giveUpUs":1500000,"goalTimeUs":900000,"idempotency":"fragile"}],
+"familyInfo":{"cores":2,"downstream":"tier","halt":"discard","keyKb":10,"memoryKb":100000,"runFactor":8,"senders":2,
+"ownStats":["cpu_busy","runnable","mem_used","sockets"],"signal":"allowance","tellsGone":true},
+"invariants":{"answerSlackUs":80000,"drainGraceUs":300000,"fallMultiple":8},
+"limits":{"maxRetryAfterUs":1000000,"retryAfter":true}}}`
+
+// start has the backend come up; options are stop_ms, sockets and "last" for the last tier.
+func (s *stage) start(options map[string]string) {
+	s.processor, s.tier = newPeer(s, "processor"), newPeer(s, "tier")
+	control, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	go func() {
+		buf, said := make([]byte, 100), ""
+		for {
+			n, _, err := control.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			if text := string(buf[:n]); text != said {
+				said = text
+				s.print("control", "%s", text)
+			}
+		}
+	}()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.listen = free.Addr().String()
+	_ = free.Close()
+	option := func(k, missing string) string {
+		if v, ok := options[k]; ok {
+			return v
+		}
+		return missing
+	}
+	tier := s.tier.ln.Addr().String()
+	if options["last"] != "" {
+		tier = ""
+	}
+	cfg, err := Parse(fmt.Appendf(nil, testConfig, s.listen, s.processor.ln.Addr(), control.LocalAddr(), tier,
+		option("stop_ms", "3000"), option("sockets", "200")))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.leave = cancel
+	s.b = New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	go func() { s.print("backend", "ended: %v", s.b.Serve(ctx)) }()
+	s.t.Cleanup(func() {
+		cancel()
+		_ = control.Close()
+		_ = s.processor.ln.Close()
+		_ = s.tier.ln.Close()
+		s.processor.close()
+		s.tier.close()
+		for _, e := range s.edges {
+			_ = e.c.Close()
+		}
+	})
+}
--- a/backend/tier.go
+++ b/backend/tier.go
@@ -145,18 +145,26 @@
 	}
 }
 
+// timeOut gives up the calls whose time has passed.
+func (t *tier) timeOut() {
+	for _, r := range t.b.known() {
+		if k := r.call; k != nil && t.b.now >= k.till+callGrace {
+			t.cancel(r)
+			t.end(k, overload.TimedOut)
+		}
+	}
+}
+
 func (t *tier) lookAtTime() {
 	b := t.b
 	if len(t.calls) > 0 {
-		for _, r := range b.known() {
-			if k := r.call; k == nil {
-			} else if b.now >= k.till+callGrace {
-				t.cancel(r)
-				t.calls[r.id] = k
-				t.end(k, overload.TimedOut)
-			} else {
-				b.at(k.till + callGrace)
-			}
+		due := false
+		for _, k := range t.calls { // a minimum: the order does not matter
+			b.at(k.till + callGrace)
+			due = due || b.now >= k.till+callGrace
+		}
+		if due {
+			t.timeOut()
 		}
 		return
 	}
--- /dev/null
+++ b/backend/trace_test.go
@@ -0,0 +1,162 @@
+package backend
+
+import (
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write the traces anew, to be read before they are committed")
+
+// TestTraces plays the steps of each trace file against a backend on loopback and compares what its stand-ins
+// print with what stands there. Indented lines are what follows a step; # starts a comment.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.trace")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no traces", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".trace"), func(t *testing.T) {
+			t.Parallel()
+			want, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := play(t, string(want))
+			if *update {
+				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			} else if diff := cmp.Diff(string(want), got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func play(t *testing.T, text string) string {
+	s := &stage{t: t, edges: map[string]*edgeNode{}}
+	var out strings.Builder
+	for _, line := range strings.Split(strings.TrimSuffix(text, "\n"), "\n") {
+		if strings.HasPrefix(line, " ") {
+			continue // what follows a step: it is made anew
+		}
+		fmt.Fprintln(&out, line)
+		line, _, _ = strings.Cut(line, "#")
+		if words := strings.Fields(line); len(words) > 0 {
+			s.step(words)
+			for _, l := range s.settle() {
+				fmt.Fprintln(&out, "    "+l)
+			}
+		}
+	}
+	return out.String()
+}
+
+// options reads the words of the form name=value; "_" stands for a space.
+func options(words []string) map[string]string {
+	out := map[string]string{}
+	for _, w := range words {
+		k, v, _ := strings.Cut(w, "=")
+		if times, unit, ok := strings.Cut(v, "*"); ok { // 2048*x
+			if n, err := strconv.Atoi(times); err == nil {
+				v = strings.Repeat(unit, n)
+			}
+		}
+		out[k] = strings.ReplaceAll(v, "_", " ")
+	}
+	return out
+}
+
+func (s *stage) step(w []string) {
+	unescape := func(words []string) string {
+		text, err := strconv.Unquote(`"` + strings.Join(words, " ") + `"`)
+		if err != nil {
+			s.t.Fatal(words, err)
+		}
+		return text
+	}
+	switch w[0] {
+	case "start":
+		s.start(options(w[1:]))
+	case "wait":
+		d, _ := time.ParseDuration(w[1])
+		time.Sleep(d)
+	case "leave":
+		s.leave()
+	case "counters":
+		c := s.b.Counters()
+		s.print("counters", "reqs %d, done %d, shed %d, errored %d, gone %d, owed %d, bad reqs %d, bad connections %d, "+
+			"begun %d, ended %d, repeated %d, rejects %d, remarks %d, broken %d", c.Reqs, c.Done, c.Shed, c.Errored, c.Gone,
+			c.Owed, c.BadReqs, c.BadConns, c.Begun, c.Ended, c.Repeated, c.Rejects, c.Remarks, c.Broken)
+	case "processor", "tier":
+		p := map[string]*peer{"processor": s.processor, "tier": s.tier}[w[0]]
+		switch w[1] {
+		case "says":
+			p.write(unescape(w[2:]) + "\r\n")
+		case "notes": // a numbered notice: the word after it, the number, the rest, and a body
+			s.n++
+			body := unescape(w[len(w)-1:])
+			p.write(fmt.Sprintf("%s %d %s %d\r\n%s\r\n", w[2], s.n, strings.Join(w[3:len(w)-1], " "), len(body), body))
+		case "replies":
+			body := unescape(w[3:])
+			p.write(fmt.Sprintf("%s ok %d\r\n%s\r\n", w[2], len(body), body))
+		case "mute":
+			p.mu.Lock()
+			p.mute = w[2] == "on"
+			p.mu.Unlock()
+		case "breaks":
+			p.close()
+		case "shuts": // and listens no more
+			_ = p.ln.Close()
+			p.close()
+		}
+	case "edge":
+		e := s.edge(w[1])
+		if e.c == nil {
+			return
+		}
+		slot := uint16(1)
+		if len(w) > 3 {
+			n, _ := strconv.Atoi(w[3])
+			slot = uint16(n)
+		}
+		text := ""
+		switch w[2] {
+		case "connects":
+		case "sends":
+			o := options(w[4:])
+			if back, ok := o["ago"]; ok {
+				d, _ := time.ParseDuration(back)
+				delete(o, "ago")
+				o["HTTP_X_REQUEST_START"] = strconv.FormatInt(time.Now().Add(-d).UnixMilli(), 10)
+			}
+			text = request(slot, o)
+		case "checks":
+			text = request(slot, map[string]string{"SCRIPT_NAME": "/_health", "QUERY_STRING": strings.Join(w[4:], "&")})
+		case "aborts":
+			text = record(2, slot, "")
+		case "raw":
+			raw, err := hex.DecodeString(strings.Join(w[3:], ""))
+			if err != nil {
+				s.t.Fatal(w, err)
+			}
+			text = string(raw)
+		case "closes":
+			_ = e.c.Close()
+			delete(s.edges, w[1])
+			return
+		}
+		_, _ = e.c.Write([]byte(text))
+	default:
+		s.t.Fatal("unknown step", w)
+	}
+}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -5,8 +5,11 @@
 package conn
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -18,9 +21,10 @@
 
 const (
 	inMost     = 256 << 10              // bytes read and not yet handled, beyond which netpoll's reader waits
-	unreadMost = 64 << 20               // bytes netpoll may hold of one connection then: a peer that floods
+	unreadMost = 32 << 20               // bytes netpoll may hold of one connection then: all notices ever kept
 	retryAfter = 5 * time.Millisecond   // until a peer that took no bytes is tried again
 	stallMost  = 15 * time.Second       // a peer that takes nothing for so long has lost its answers anyway
+	logEvery   = time.Second            // between lines of netpoll's own: a flood stays readable
 	dialFor    = 500 * time.Millisecond // a peer on the same machine or next to it answers far sooner
 )
 
@@ -36,7 +40,7 @@
 type Conn struct {
 	Data   func(p []byte) error // each stretch that was read; an error closes the connection
 	Closed func(err error)      // once, after the last Data
-	Most   int                  // bytes that may wait to be sent; more closes the connection
+	Most   int                  // bytes that may wait for a peer that takes none; more closes the connection
 
 	box     *Inbox
 	nc      netpoll.Connection
@@ -59,6 +63,7 @@
 type Inbox struct {
 	Wake chan struct{} // holds a token while something waits
 	Open atomic.Int64  // connections that hold a descriptor
+	Most int           // bytes that may wait for all peers that take none; more closes the worst
 
 	mu      sync.Mutex
 	queue   []any // *Conn or func()
@@ -68,7 +73,7 @@
 }
 
 // NewInbox returns an empty inbox.
-func NewInbox() *Inbox { return &Inbox{Wake: make(chan struct{}, 1)} }
+func NewInbox() *Inbox { return &Inbox{Wake: make(chan struct{}, 1), Most: math.MaxInt} }
 
 // Post has f called on the owner.
 func (b *Inbox) Post(f func()) { b.push(f) }
@@ -107,10 +112,10 @@
 		p := c.in.Peek()
 		if len(p) == 0 {
 			c.queued = false
-			end := c.dead && !c.told
+			end := c.dead && !c.told && c.Closed != nil // not yet handed over: turned again then
 			c.told = c.told || end
 			c.mu.Unlock()
-			if end && c.Closed != nil {
+			if end {
 				if c.why == nil {
 					c.why = ErrPeer
 				}
@@ -119,7 +124,7 @@
 			return
 		}
 		c.mu.Unlock()
-		if c.why == nil {
+		if c.why == nil && c.Data != nil {
 			if err := c.Data(p); err != nil {
 				c.Close(err)
 			}
@@ -172,13 +177,24 @@
 			keep = append(keep, c)
 		}
 	}
-	b.stalled = keep
 	for _, c := range dirty {
 		if c.dirty && c.stalled.IsZero() && c.send(now) {
-			b.stalled = append(b.stalled, c)
+			keep = append(keep, c)
+		}
+	}
+	clear(dirty)
+	b.stalled = keep
+	all, worst := 0, (*Conn)(nil)
+	for _, c := range keep {
+		all += c.out.Len()
+		if worst == nil || c.out.Len() > worst.out.Len() {
+			worst = c
 		}
 	}
-	if len(b.stalled) > 0 {
+	if all > b.Most {
+		worst.Close(ErrTooBig)
+	}
+	if len(keep) > 0 {
 		return retryAfter
 	}
 	return 0
@@ -226,6 +242,30 @@
 
 // ---- netpoll's side ----
 
+// SetLog has netpoll's own lines, as of descriptors that ran out, logged at most once a second. It is for the
+// whole process and to be called before any connection is made.
+func SetLog(log *slog.Logger) { netpoll.SetLoggerOutput(&logWriter{log: log}) }
+
+type logWriter struct {
+	log *slog.Logger
+
+	mu      sync.Mutex
+	last    time.Time
+	skipped int
+}
+
+func (w *logWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t := time.Now(); t.Sub(w.last) >= logEvery {
+		w.log.Warn("netpoll", "line", string(bytes.TrimSpace(p)), "left_out", w.skipped)
+		w.last, w.skipped = t, 0
+	} else {
+		w.skipped++
+	}
+	return len(p), nil
+}
+
 type ctxKey struct{}
 
 func (b *Inbox) adopt(nc netpoll.Connection) *Conn {
@@ -290,8 +330,11 @@
 			return
 		}
 		c := b.adopt(nc)
-		b.Post(func() { done(c, nil) })
 		_ = nc.AddCloseCallback(c.closed)
+		b.Post(func() {
+			done(c, nil)
+			c.turn() // it may have ended before
+		})
 		_ = nc.SetOnRequest(c.read)
 		if !nc.IsActive() { // it ended before the callbacks stood
 			_ = nc.Close()
@@ -322,8 +365,8 @@
 		},
 		netpoll.WithOnPrepare(func(nc netpoll.Connection) context.Context {
 			c := b.adopt(nc)
-			b.Post(func() { accept(c) })
 			_ = nc.AddCloseCallback(c.closed)
+			b.Post(func() { accept(c) })
 			return context.WithValue(context.Background(), ctxKey{}, c)
 		}))
 	if err != nil {
--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -31,7 +31,7 @@
 
 const (
 	contentMost = 65535   // bytes in a record
-	paramsMost  = 8 << 10 // bytes of parameters: those known have some hundred
+	paramsMost  = 4 << 10 // bytes of parameters: those known have some hundred
 	valuesMost  = 1 << 10 // bytes of a question for values: the three known have 50
 	BodyMost    = 2 << 10 // bytes of a body, by the protocol of the deployment
 	OpenMost    = 32      // reqs open on a connection, by the same
