--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -2,63 +2,25 @@
 
 import (
 	"encoding/hex"
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"frosthub/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the traces anew, to be read before they are committed")
-
-// TestTraces plays the steps of each trace file against a backend on loopback and compares what its stand-ins
-// print with what stands there. Indented lines are what follows a step; # starts a comment.
+// TestTraces plays the steps of each trace file against a backend on loopback; what follows a step is what the
+// stand-ins print then.
 func TestTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.trace")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no traces", err)
-	}
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".trace"), func(t *testing.T) {
-			t.Parallel()
-			want, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			got := play(t, string(want))
-			if *update {
-				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-					t.Fatal(err)
-				}
-			} else if diff := cmp.Diff(string(want), got); diff != "" {
-				t.Error(diff)
-			}
+	golden.Files(t, func(t *testing.T, text string) string {
+		s := &stage{t: t, edges: map[string]*edgeNode{}}
+		return golden.Steps(text, func(line string) []string {
+			s.step(strings.Fields(line))
+			return s.settle()
 		})
-	}
-}
-
-func play(t *testing.T, text string) string {
-	s := &stage{t: t, edges: map[string]*edgeNode{}}
-	var out strings.Builder
-	for _, line := range strings.Split(strings.TrimSuffix(text, "\n"), "\n") {
-		if strings.HasPrefix(line, " ") {
-			continue // what follows a step: it is made anew
-		}
-		fmt.Fprintln(&out, line)
-		line, _, _ = strings.Cut(line, "#")
-		if words := strings.Fields(line); len(words) > 0 {
-			s.step(words)
-			for _, l := range s.settle() {
-				fmt.Fprintln(&out, "    "+l)
-			}
-		}
-	}
-	return out.String()
+	})
 }
 
 // options reads the words of the form name=value; "_" stands for a space.
--- /dev/null
+++ b/internal/fastcgi/fastcgi_test.go
@@ -0,0 +1,40 @@
+package fastcgi
+
+import (
+	"testing"
+
+	"frosthub/internal/golden"
+)
+
+// open has a parser print its messages. Even slots are answered at once, odd ones stay open.
+func open(print func(string, ...any)) func([]byte) error {
+	var p Parser
+	return func(b []byte) error {
+		return p.Feed(b, func(m Message) {
+			kind := []string{"", "request", "bad", "abort", "refuse", "reply"}[m.Kind]
+			print("%s %d keep=%v status=%d body=%q, %d open", kind, m.Slot, m.Keep, m.Status, m.Body, p.Open())
+			if !Each(m.Params, func(name, value []byte) { print("  %q=%.40q", name, value) }) {
+				print("  parameters cut short")
+			}
+			if m.Kind != Reply && m.Slot%2 == 0 {
+				p.Done(m.Slot)
+			}
+		})
+	}
+}
+
+func TestParser(t *testing.T) { golden.Parser(t, open) }
+
+func FuzzParser(f *testing.F) { golden.Fuzz(f, open) }
+
+func TestAnswer(t *testing.T) {
+	got := AppendEnd(AppendStdout(nil, 0x102, []byte("hello")), 0x102, Complete)
+	want := "\x01\x06\x01\x02\x00\x05\x00\x00hello" + "\x01\x06\x01\x02\x00\x00\x00\x00" +
+		"\x01\x03\x01\x02\x00\x08\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00"
+	if string(got) != want {
+		t.Errorf("got %q", got)
+	}
+	if got := len(AppendStdout(nil, 1, make([]byte, contentMost+1))); got != contentMost+1+2*headerLen {
+		t.Error("a long answer takes two records, not", got)
+	}
+}
--- a/internal/processor/processor.go
+++ b/internal/processor/processor.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"math"
 	"strconv"
 	"time"
 
@@ -114,7 +115,7 @@
 		n.Kind, n.Tag = Used, number()
 		for len(line) > 0 {
 			v, err := strconv.ParseFloat(string(word()), 64)
-			good = good && err == nil
+			good = good && err == nil && !math.IsNaN(v) && !math.IsInf(v, 0)
 			n.Gauges = append(n.Gauges, v)
 		}
 	case "tried":
--- a/overload/trace_test.go
+++ b/overload/trace_test.go
@@ -1,45 +1,18 @@
 package overload
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	"frosthub/internal/golden"
 )
 
-var update = flag.Bool("update", false, "write the traces anew, to be read before they are committed")
-
 // TestTraces plays the events of each trace file and compares the decisions with those that stand there.
 // Lines that begin with a time are events, those under them the decisions; # starts a comment.
-func TestTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.trace")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no traces", err)
-	}
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".trace"), func(t *testing.T) {
-			want, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			got := play(t, string(want))
-			if *update {
-				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-					t.Fatal(err)
-				}
-			}
-			if diff := cmp.Diff(string(want), got); diff != "" && !*update {
-				t.Error(diff)
-			}
-		})
-	}
-}
+func TestTraces(t *testing.T) { golden.Files(t, play) }
 
 // standard settings: three handlers, one of each kind; a trace's own settings go over them.
 func standard() map[string]any {
