--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -381,8 +381,8 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err == nil && nc != nil && l.box.Open.Load() >= l.most {
-		_ = nc.Close()
 		l.turned()
+		_ = nc.Close()
 		return nil, nil
 	}
 	return nc, err
--- /dev/null
+++ b/internal/conn/conn_test.go
@@ -0,0 +1,225 @@
+package conn
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// FuzzRing writes and drops stretches and compares with a plain slice.
+func FuzzRing(f *testing.F) {
+	f.Add([]byte{200, 100, 255, 255, 3, 250, 9, 90})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		var r Ring
+		var want []byte
+		for i, s := range steps {
+			switch i % 3 {
+			case 0:
+				p := bytes.Repeat([]byte{s}, int(s)*40)
+				r.Write(p)
+				want = append(want, p...)
+			case 1:
+				space := r.Space(int(s))
+				k := min(len(space), int(s))
+				for j := range space[:k] {
+					space[j] = s
+				}
+				r.Commit(k)
+				want = append(want, bytes.Repeat([]byte{s}, k)...)
+			case 2:
+				p := r.Peek()
+				if k := min(len(p), int(s)*30); k > 0 {
+					if !bytes.Equal(p, want[:len(p)]) {
+						t.Fatal("other bytes than were written")
+					}
+					r.Skip(k)
+					want = want[k:]
+				}
+			}
+			if r.Len() != len(want) {
+				t.Fatalf("%d bytes, not %d", r.Len(), len(want))
+			}
+		}
+	})
+}
+
+// owner runs an inbox for a while, as a backend does.
+func owner(b *Inbox, until func() bool) bool {
+	retry := time.NewTimer(time.Hour)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
+		select {
+		case <-b.Wake:
+		case <-retry.C:
+		case <-time.After(20 * time.Millisecond):
+		}
+		b.Turn()
+		if again := b.Flush(time.Now()); again > 0 {
+			retry.Reset(again)
+		}
+		if until() {
+			return true
+		}
+	}
+	return false
+}
+
+// serve listens, and echoes what it reads; conns is filled by the owner.
+func serve(t *testing.T, b *Inbox, most int, conns *[]*Conn, ends *[]error) (address string, turned chan struct{}) {
+	turned = make(chan struct{}, 100)
+	l, err := b.Listen("127.0.0.1:0", most, func(c *Conn) {
+		*conns = append(*conns, c)
+		c.Data = func(p []byte) error {
+			if bytes.Equal(p, []byte("bad")) {
+				return io.ErrUnexpectedEOF
+			}
+			c.Write(p)
+			return nil
+		}
+		c.Closed = func(err error) { *ends = append(*ends, err) }
+	}, func() { turned <- struct{}{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String(), turned
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// TestDeafPeer: who stops reading holds up nobody, gets all if it reads again, and is closed beyond its bound.
+func TestDeafPeer(t *testing.T) {
+	b := NewInbox()
+	var conns []*Conn
+	var ends []error
+	address, _ := serve(t, b, 100, &conns, &ends)
+	deaf, other := dial(t, address), dial(t, address)
+	if !owner(b, func() bool { return len(conns) == 2 }) {
+		t.Fatal("not accepted")
+	}
+	if conns[0].nc.RemoteAddr().String() != deaf.LocalAddr().String() {
+		conns[0], conns[1] = conns[1], conns[0]
+	}
+	const size = 16 << 20
+	conns[0].Most = size
+	conns[0].Write(make([]byte, size))
+	start := time.Now()
+	if b.Flush(start) == 0 || conns[0].Pending() == 0 {
+		t.Fatal("the peer took all: nothing is shown")
+	}
+	if spent := time.Since(start); spent > time.Second {
+		t.Error("the owner waited for the peer", spent)
+	}
+	_, _ = other.Write([]byte("hello"))
+	heard := make(chan string, 1)
+	go func() {
+		got := make([]byte, 5)
+		_, _ = io.ReadFull(other, got)
+		heard <- string(got)
+	}()
+	if !owner(b, func() bool { return len(heard) == 1 }) || <-heard != "hello" {
+		t.Error("the other peer is held up")
+	}
+	read := make(chan int64, 1)
+	go func() { n, _ := io.CopyN(io.Discard, deaf, size); read <- n }()
+	if !owner(b, func() bool { return conns[0].Pending() == 0 }) || <-read != size {
+		t.Error("a peer that reads again does not get all")
+	}
+	conns[0].Most = 1 << 10
+	conns[0].Write(make([]byte, size))
+	if !owner(b, func() bool { return len(ends) == 1 }) || !errors.Is(ends[0], ErrTooBig) {
+		t.Error("a deaf peer is not closed beyond its bound", ends)
+	}
+}
+
+// TestAllDeaf: what waits for all together has a bound too.
+func TestAllDeaf(t *testing.T) {
+	b := NewInbox()
+	var conns []*Conn
+	var ends []error
+	address, _ := serve(t, b, 100, &conns, &ends)
+	for range 3 {
+		dial(t, address)
+	}
+	owner(b, func() bool { return len(conns) == 3 })
+	b.Most = 24 << 20
+	for _, c := range conns {
+		c.Most = 32 << 20
+		c.Write(make([]byte, 16<<20))
+	}
+	if !owner(b, func() bool { return len(ends) > 0 }) || len(ends) == 3 {
+		t.Error("closed:", ends)
+	}
+}
+
+// TestEnds: an error of Data closes, the far end's close is told, places are free again; without room a
+// connection is closed at once.
+func TestEnds(t *testing.T) {
+	b := NewInbox()
+	var conns []*Conn
+	var ends []error
+	address, turned := serve(t, b, 2, &conns, &ends)
+	one, two := dial(t, address), dial(t, address)
+	if !owner(b, func() bool { return len(conns) == 2 }) {
+		t.Fatal("not accepted")
+	}
+	three := dial(t, address)
+	if _, err := three.Read(make([]byte, 1)); err == nil || len(turned) != 1 {
+		t.Error("a connection without room is kept")
+	}
+	_, _ = one.Write([]byte("bad"))
+	if !owner(b, func() bool { return len(ends) == 1 }) || !errors.Is(ends[0], io.ErrUnexpectedEOF) {
+		t.Error("ends:", ends)
+	}
+	_ = two.Close()
+	if !owner(b, func() bool { return len(ends) == 2 }) || !errors.Is(ends[1], ErrPeer) || b.Open.Load() != 0 {
+		t.Error("ends:", ends, "open", b.Open.Load())
+	}
+	var met error
+	b.Dial("127.0.0.1:1", func(_ *Conn, err error) { met = err })
+	if !owner(b, func() bool { return met != nil }) {
+		t.Error("a refused connection is not told")
+	}
+}
+
+// TestGoneAtOnce: a peer that accepts and closes is told of, however early it does.
+func TestGoneAtOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	b := NewInbox()
+	closed := 0
+	for range 50 {
+		b.Dial(l.Addr().String(), func(c *Conn, err error) {
+			if err != nil {
+				closed++
+				return
+			}
+			c.Data = func([]byte) error { return nil }
+			c.Closed = func(error) { closed++ }
+		})
+	}
+	if !owner(b, func() bool { return closed == 50 }) || b.Open.Load() != 0 {
+		t.Error("told of", closed, "open", b.Open.Load())
+	}
+}
