Drain: the module is told to end 150 ms before the stop, and the process waits for its last answers

Seen by a new trace of a run that never ends: the module answers its last reqs 54 ms before the stop it is told (leave: stop less a look), the process ended 100 ms before it (finished), so these answers were lost. Also a trace of more connections than descriptors.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -17,7 +17,9 @@
 	gaugeWait   = 10 * time.Millisecond  // for the gauges, then the last ones must do: short of a look
 	tidyEvery   = 100 * time.Millisecond // between looks at idle connections
 	closeBefore = 300 * time.Millisecond // of the stop: time for what crosses the closing
+	leaveBefore = 150 * time.Millisecond // of the stop: what the module takes for it, so that its last answers get out
 	exitBefore  = 100 * time.Millisecond // of the stop: time to end the process
+	giveUp      = 20 * time.Millisecond  // of the stop: to end it whatever is left
 	lookLeaving = 10 * time.Millisecond  // between looks at what may be closed in between
 	outShare    = 0.2                    // of the memory limit, for answers that edge nodes leave
 	spare       = 16                     // descriptors kept for the processor, calls, reports and the runtime
@@ -231,7 +233,7 @@
 func (b *Backend) leave() {
 	b.leaving, b.stopAt = true, b.now+b.cfg.Stop
 	b.log.Info("leaving", "within", b.cfg.Stop, "owed", b.owed)
-	b.events = append(b.events, overload.Event{Kind: overload.Leave, Left: b.cfg.Stop})
+	b.events = append(b.events, overload.Event{Kind: overload.Leave, Left: b.cfg.Stop - leaveBefore})
 }
 
 // finished closes what is open near the stop, and tells when the process may end.
@@ -241,8 +243,9 @@
 	}
 	b.closeListener()
 	b.front.closeIdle()
-	b.at(min(b.now+lookLeaving, b.stopAt-exitBefore))
-	return b.now >= b.stopAt-exitBefore || b.ctl == nil
+	b.at(b.now + lookLeaving)
+	nothing := b.owed == 0 && b.box.Stalled() == 0
+	return b.now >= b.stopAt-exitBefore && nothing || b.now >= b.stopAt-giveUp || b.ctl == nil
 }
 
 func (b *Backend) closeListener() {
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"fmt"
+	"net"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -54,6 +57,24 @@
 		time.Sleep(d)
 	case "leave":
 		s.leave()
+	case "crowd": // of connections that carry nothing
+		n, _ := strconv.Atoi(w[1])
+		var open []net.Conn
+		for range n {
+			if c, err := net.Dial("tcp", s.listen); err == nil {
+				open = append(open, c)
+				s.t.Cleanup(func() { _ = c.Close() })
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		left := 0
+		for _, c := range open {
+			_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+			if _, err := c.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+				left++
+			}
+		}
+		s.print("crowd", "%d of %d stay open", left, n)
 	case "counters":
 		c := s.b.Counters()
 		s.print("counters", "reqs %d, done %d, shed %d, errored %d, gone %d, owed %d, bad reqs %d, bad connections %d, "+
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -200,6 +200,9 @@
 	return 0
 }
 
+// Stalled is the number of peers that left something of what was sent.
+func (b *Inbox) Stalled() int { return len(b.stalled) }
+
 // send writes to the descriptor, and tells whether the peer left something.
 func (c *Conn) send(now time.Time) bool {
 	c.dirty = false
