--- a/backend/backend.go
+++ b/backend/backend.go
@@ -59,6 +59,7 @@
 	link      link
 	tier      tier
 	lease     lease
+	keys      keys
 	count     Counters
 	turned    atomic.Int64 // connections that found no room
 	notes     map[string]*noted
@@ -89,6 +90,7 @@
 	b.front.init(b)
 	b.link.init(b)
 	b.tier.init(b)
+	b.keys.init(b)
 	return b
 }
 
@@ -192,6 +194,7 @@
 	if b.now >= b.tidyAt {
 		b.tidyAt = b.now + tidyEvery
 		b.front.tidy()
+		b.keys.tidy()
 	}
 	b.at(b.tidyAt)
 	if b.leaving && b.now < b.stopAt-closeBefore {
--- a/backend/front.go
+++ b/backend/front.go
@@ -183,6 +183,10 @@
 		return
 	}
 	ev.ID, ev.Handler = r.id, r.h
+	if r.of = (subject{r.h, ev.Subject}); ev.Subject != "" {
+		r.fore = b.keys.repeatOf(r.of)
+		ev.RepeatOf = r.fore
+	}
 	ev.Unread = min(max(0, time.Duration(b.unix-int64(started))*time.Millisecond), unreadMost)
 	b.reqs[r.id] = r
 	b.owed++
--- a/backend/link.go
+++ b/backend/link.go
@@ -231,7 +231,7 @@
 // repeated; what of them still runs is stopped.
 func (l *link) lost() {
 	for _, r := range l.b.known() {
-		if r.at != held && r.sent {
+		if r.at >= running && r.sent {
 			l.interrupt(r)
 			l.b.ended(r, overload.Errored, 0, nil)
 		}
@@ -262,7 +262,7 @@
 	for _, r := range b.known() {
 		doubt := r.mark >= acked
 		switch {
-		case r.at == held:
+		case r.at < running:
 		case !r.sent:
 			l.begin(r)
 		case doubt && !r.seen && b.owes(r) && b.handlers[r.h].replayable && !r.stop:
--- a/backend/req.go
+++ b/backend/req.go
@@ -13,6 +13,7 @@
 
 const (
 	held    place = iota
+	joined        // waits for the result of another
 	running       // begun, or to be begun once the link stands
 	asking        // its run waits for a call that is not made
 	calling       // and for one that is
@@ -38,6 +39,10 @@
 	reply      []byte // the reply, until more is heard of the run
 	replied    bool
 	call       *call
+
+	of    subject
+	fore  uint64 // the remembered req that it repeats
+	joins []*req // those that wait for its result
 }
 
 func (b *Backend) owes(r *req) bool { return r.edge != nil }
@@ -59,6 +64,10 @@
 		b.keep = a.For
 		return
 	}
+	if a.Kind == overload.Forget {
+		b.keys.drop(b.keys.byID[a.ID]) // also of a req that has ended
+		return
+	}
 	r := b.reqs[a.ID]
 	if r == nil {
 		return // it ended in the same batch
@@ -72,7 +81,7 @@
 		b.count.Begun++
 		b.link.begin(r)
 	case overload.Stop:
-		if r.at != held {
+		if r.at >= running {
 			b.count.Stopped++
 			b.link.interrupt(r)
 		}
@@ -93,6 +102,12 @@
 		} else if r.at >= asking {
 			b.endRun(r) // nobody waits, but the run does
 		}
+	case overload.Remember:
+		b.keys.remember(r, a.For)
+	case overload.Join:
+		if invariant.Check(r.at == held && b.owes(r) && r.fore != 0, "what joins is a held repeat") {
+			b.keys.join(r)
+		}
 	case overload.Call:
 		if r.at == asking {
 			b.tier.invoke(r, a.For)
@@ -121,8 +136,9 @@
 // unowed lets go of a req that never ran, and ends a run that stands at a call: as the simulator does.
 func (b *Backend) unowed(r *req) {
 	switch r.at {
-	case held:
+	case held, joined:
 		delete(b.reqs, r.id)
+		b.keys.ended(r, overload.Errored, nil)
 	case asking, calling:
 		b.endRun(r)
 	}
@@ -135,7 +151,9 @@
 
 // ended follows the end of a run; body is the result.
 func (b *Backend) ended(r *req, how overload.Outcome, took time.Duration, body []byte) {
-	b.count.Ended++
+	if r.at != joined && r.at != held {
+		b.count.Ended++
+	}
 	b.tier.cancel(r)
 	if r.probe > 0 {
 		b.link.probes--
@@ -153,4 +171,5 @@
 	}
 	delete(b.reqs, r.id)
 	b.events = append(b.events, overload.Event{Kind: overload.Ended, ID: r.id, Outcome: how, Took: took})
+	b.keys.ended(r, how, body)
 }
--- a/backend/stand_test.go
+++ b/backend/stand_test.go
@@ -263,7 +263,7 @@
 "classes":[{"name":"status","credit":1,"giveUpUs":1500000,"goalTimeUs":900000,"idempotency":"retryable"},
 {"name":"file-claim","credit":3,"giveUpUs":1500000,"goalTimeUs":900000,"idempotency":"fragile"}],
 "familyInfo":{"cores":2,"downstream":"tier","halt":"discard","keyKb":10,"memoryKb":100000,"runFactor":8,"senders":2,
-"ownStats":["cpu_busy","runnable","mem_used","sockets"],"signal":"allowance","tellsGone":true},
+"shareForUs":800000,"ownStats":["cpu_busy","runnable","mem_used","sockets"],"signal":"allowance","tellsGone":true},
 "invariants":{"answerSlackUs":80000,"drainGraceUs":300000,"fallMultiple":8},
 "limits":{"maxRetryAfterUs":1000000,"retryAfter":true}}}`
 
