A begin in doubt is taken for lost only 0.25 s after the interrupt that looks for its run

Seen by reading: the end of an interrupted run may be told some milliseconds after the interrupt, and the question for gauges was answered before that. A begin sent in between would have started a non-replayable req a second time (resume, neverRan). Also: a second break while a begin is probed counted the probe twice.

--- a/backend/link.go
+++ b/backend/link.go
@@ -12,6 +12,7 @@
 const (
 	redial    = 20 * time.Millisecond  // before the first further try to reach the processor
 	redialMax = 500 * time.Millisecond // between later ones: it may come up long after this backend
+	probeWait = 250 * time.Millisecond // for the word of an interrupted run, before there was none: far past a tick
 	linkMost  = 16 << 20               // bytes of commands that may wait: all bodies and replies that can be owed
 )
 
@@ -220,7 +221,11 @@
 	}
 	if l.probes > 0 {
 		for _, r := range b.known() {
-			if r.probe > 0 && n.Tag >= r.probe {
+			switch {
+			case r.probeAt == 0 || b.now < r.probeAt:
+			case r.probe == 0:
+				r.probe = l.tag + 1 // the next question
+			case n.Tag >= r.probe:
 				l.neverRan(r)
 			}
 		}
@@ -255,10 +260,10 @@
 
 // resume repeats what the break may have swallowed. All kept notices are read by now. A begin that is not
 // proved to have arrived is repeated at once where the req may run again; elsewhere the run is first stopped,
-// so that the next answer proves whether there was one.
+// and is taken for never begun if nothing is heard of it for a while; a begin would else meet a run that is
+// just being stopped.
 func (l *link) resume(acked uint64) {
 	b := l.b
-	probed := false
 	for _, r := range b.known() {
 		doubt := r.mark >= acked
 		switch {
@@ -270,8 +275,10 @@
 			l.begin(r)
 		case doubt && !r.seen:
 			l.interrupt(r)
-			l.probes++
-			r.probe, probed = l.tag+1, true
+			if r.probeAt == 0 { // else the link broke again meanwhile
+				l.probes++
+			}
+			r.probe, r.probeAt = 0, b.now+probeWait
 		case r.stop:
 			l.interrupt(r)
 		case r.replied && doubt:
@@ -279,16 +286,13 @@
 			l.repeatAnswer(r)
 		}
 	}
-	if probed {
-		l.usage()
-	}
 }
 
 // neverRan follows the proof that a begin was lost.
 func (l *link) neverRan(r *req) {
 	b := l.b
 	l.probes--
-	r.probe, r.stop = 0, false
+	r.probe, r.probeAt, r.stop = 0, 0, false
 	if !b.owes(r) {
 		b.ended(r, overload.Moot, 0, nil)
 		return
--- a/backend/req.go
+++ b/backend/req.go
@@ -31,12 +31,13 @@
 	slot uint16
 	keep bool
 
-	sent, seen bool   // begin is written; something of the run was heard
-	mark       uint64 // the last question for gauges before the last command: one answered later proves it arrived
-	stop       bool   // the run is to end
-	probe      uint64 // an answered question for gauges with this tag proves that it never ran
-	ask        []byte // what the run asks of the next tier
-	reply      []byte // the reply, until more is heard of the run
+	sent, seen bool          // begin is written; something of the run was heard
+	mark       uint64        // the last question for gauges before the last command: one answered later proves it arrived
+	stop       bool          // the run is to end
+	probeAt    time.Duration // after an interrupt: nothing heard until then may prove that it never ran
+	probe      uint64        // the question for gauges, asked after that, whose answer does; 0 before
+	ask        []byte        // what the run asks of the next tier
+	reply      []byte        // the reply, until more is heard of the run
 	replied    bool
 	call       *call
 
@@ -155,7 +156,7 @@
 		b.count.Ended++
 	}
 	b.tier.cancel(r)
-	if r.probe > 0 {
+	if r.probeAt > 0 {
 		b.link.probes--
 	}
 	if b.owes(r) {
