--- a/backend/stand_test.go
+++ b/backend/stand_test.go
@@ -46,14 +46,17 @@
 
 // settle waits until so many lines are there and nothing happens any more, and gives them by party.
 func (s *stage) settle(expected int) []string {
-	start := time.Now()
+	start, calm := time.Now(), quiet
+	if expected < 0 {
+		calm *= 6 // written anew: nothing tells what is still to come
+	}
 	s.mu.Lock()
 	s.last = start
 	s.mu.Unlock()
 	for {
 		time.Sleep(quiet / 8)
 		s.mu.Lock()
-		if time.Since(s.last) >= quiet && (len(s.lines) >= expected || time.Since(start) > patient) {
+		if time.Since(s.last) >= calm && (len(s.lines) >= expected || time.Since(start) > patient) {
 			out := s.lines
 			s.lines = nil
 			s.mu.Unlock()
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -41,7 +41,7 @@
 }
 
 // Steps plays a text whose indented lines are what is printed; step gets each other line without its comment
-// and the number of lines that stand under it (0 when they are written anew), and gives what follows it.
+// and the number of lines that stand under it (-1 when they are written anew), and gives what follows it.
 func Steps(text string, step func(line string, expected int) []string) string {
 	var out strings.Builder
 	lines := strings.Split(strings.TrimSuffix(text, "\n"), "\n")
@@ -53,6 +53,9 @@
 		line, _, _ = strings.Cut(line, "#")
 		if line = strings.TrimSpace(line); line != "" {
 			expected := 0
+			if *update {
+				expected = -1
+			}
 			for !*update && i+expected+1 < len(lines) && strings.HasPrefix(lines[i+expected+1], " ") {
 				expected++
 			}
