--- a/backend/backend.go
+++ b/backend/backend.go
@@ -219,6 +219,35 @@
 		}
 	}
 	invariant.Check(b.owed >= 0 && b.owed <= len(b.reqs), "owed reqs are among those known")
+	invariant.Check(b.box.Open.Load() <= int64(b.cfg.Limits.Sockets), "descriptors stay within their limit")
+	if invariant.Debug {
+		b.verify()
+	}
+}
+
+// verify goes through all that is kept: each owed req has one place to answer to, and who is not owed runs.
+func (b *Backend) verify() {
+	owed, calls := 0, 0
+	for _, r := range b.reqs {
+		if b.owes(r) {
+			owed++
+			invariant.Check(r.edge.open[r.slot] == r, "an owed req holds its slot")
+		} else {
+			invariant.Check(r.at >= running, "what is kept without being owed runs")
+		}
+		if r.call != nil {
+			calls++
+			invariant.Check(r.at == calling, "who has a call in hand is calling")
+		}
+	}
+	slots := 0
+	for e := range b.front.edges {
+		slots += len(e.open)
+		invariant.Check(e.p.Open() >= len(e.open)+len(e.checks), "open slots are known to the parser")
+	}
+	invariant.Check(owed == b.owed && owed == slots, "held and running reqs are those owed, each on one slot")
+	invariant.Check(calls == len(b.tier.calls), "calls in hand are those of reqs")
+	invariant.Check(b.keys.kept <= keptMost, "kept results stay within their bound")
 }
 
 // come makes the controller once the processor is up.
--- a/internal/invariant/debug.go
+++ b/internal/invariant/debug.go
@@ -2,4 +2,7 @@
 
 package invariant
 
+// Debug tells whether this build stops at what does not hold; checks that cost much are made only then.
+const Debug = true
+
 func fail(what string) { panic("invariant broken: " + what) }
