A standstill of the owner is tested; fewer descriptors than told are respected

Seen with a process limit of 24 descriptors under a told limit of 1024: accepting failed, netpoll retried once a second and no core was spent, but the processor could not be dialled while edge nodes held all. Now the lower of the two limits counts.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"frosthub/internal/conn"
@@ -78,6 +79,10 @@
 	if log == nil {
 		log = slog.Default()
 	}
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil && files.Cur < uint64(cfg.Limits.Sockets) {
+		cfg.Limits.Sockets = int(files.Cur) // the process may hold fewer than it was told
+	}
 	b := &Backend{cfg: cfg, log: log, start: time.Now().Add(-startSpan), box: conn.NewInbox(),
 		reqs: map[uint64]*req{}, notes: map[string]*noted{}, good: true,
 		requested: make(chan chan Counters), stopped: make(chan struct{})}
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -57,6 +57,9 @@
 		time.Sleep(d)
 	case "leave":
 		s.leave()
+	case "pause": // the owner stands still, as on a machine that does; what is sent to it lies unread
+		d, _ := time.ParseDuration(w[1])
+		s.b.box.Post(func() { time.Sleep(d) })
 	case "crowd": // how many, how many may stay: of connections that carry nothing
 		n, _ := strconv.Atoi(w[1])
 		var open []net.Conn
