Reqs that never come whole have a bound in memory; who holds most of them is closed

By the limits alone, 500 connections with 32 half sent reqs of 6 KB each came to half of the memory limit before the collector's share.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -248,7 +248,7 @@
 	slots := 0
 	for e := range b.front.edges {
 		slots += len(e.open)
-		invariant.Check(e.p.Open() >= len(e.open)+len(e.checks), "open slots are known to the parser")
+		invariant.Check(e.cut || e.p.Open() >= len(e.open)+len(e.checks), "open slots are known to the parser")
 	}
 	invariant.Check(owed == b.owed && owed == slots, "held and running reqs are those owed, each on one slot")
 	invariant.Check(calls == len(b.tier.calls), "calls in hand are those of reqs")
--- a/backend/front.go
+++ b/backend/front.go
@@ -19,6 +19,7 @@
 	unreadMost = 10 * time.Minute // a req older than this is as late as one can be
 	trialWait  = time.Second      // for a deep health check: edge nodes wait no longer
 	outMost    = 192 << 10        // bytes of answers that one edge node may leave: 32 of the longest are 140 KB
+	partShare  = 0.15             // of the memory limit, for reqs that are not yet whole
 	partMost   = 10 * time.Second // for a req to come whole: its client has gone by then
 )
 
@@ -26,12 +27,14 @@
 	errCrowded = errors.New("idle, and the place is needed")
 	errIdle    = errors.New("idle")
 	errPart    = errors.New("a req does not come whole")
+	errParts   = errors.New("too much of reqs that are not whole")
 )
 
 // front is the side of the edge nodes.
 type front struct {
 	b     *Backend
 	edges map[*edge]struct{}
+	parts int // bytes of reqs that are not yet whole, of all
 }
 
 // edge is one connection of an edge node.
@@ -41,7 +44,7 @@
 	open   map[uint16]*req
 	checks map[uint16]check
 	used   time.Duration // when it last carried something
-	cut    bool
+	cut    bool          // closed for what it held; its end is still to be told
 }
 
 // check is a deep health check that waits for the processor.
@@ -61,7 +64,12 @@
 	c.Most = outMost
 	c.Data = func(p []byte) error {
 		e.used = b.now
+		before := e.p.Held()
 		err := e.p.Feed(p, func(m fastcgi.Message) { f.message(e, m) })
+		f.parts += e.p.Held() - before
+		if most := partShare * b.cfg.Limits.MemoryMB * (1 << 20); err == nil && most > 0 && float64(f.parts) > most {
+			f.cutWorst()
+		}
 		if err != nil {
 			b.count.BadConns++
 			b.note("bad connection", "from", "edge node", "why", err)
@@ -70,14 +78,29 @@
 	}
 	c.Closed = func(err error) {
 		delete(f.edges, e)
+		f.parts -= e.p.Held()
 		b.count.ConnsClosed++
-		e.cut = true
 		for _, slot := range sorted(e.open) {
 			b.gone(e.open[slot])
 		}
 	}
 }
 
+// cutWorst closes the connection that holds most of reqs that are not whole.
+func (f *front) cutWorst() {
+	var worst *edge
+	for e := range f.edges {
+		if worst == nil || e.p.Held() > worst.p.Held() {
+			worst = e
+		}
+	}
+	f.b.count.BadConns++
+	f.b.note("bad connection", "from", "edge node", "why", errParts)
+	f.parts -= worst.p.Held()
+	worst.p, worst.cut = fastcgi.Parser{}, true
+	worst.c.Close(errParts)
+}
+
 // sorted gives the slots in order, so that the same bytes lead to the same decisions.
 func sorted(open map[uint16]*req) []uint16 {
 	slots := make([]uint16, 0, len(open))
--- a/backend/stand_test.go
+++ b/backend/stand_test.go
@@ -262,7 +262,7 @@
 }
 
 const testConfig = `{"name":"n3","listen":"%s","processor":"%s","control":"%s","backend":"%s","seed":"8c1f30d27a5be964",
-"stop_ms":%s,"limits":{"cores":1.0,"memory_mb":192,"sockets":%s},"settings":{"servers":2,"tickUs":1000,
+"stop_ms":%s,"limits":{"cores":1.0,"memory_mb":%s,"sockets":%s},"settings":{"servers":2,"tickUs":1000,
 "classes":[{"name":"status","credit":1,"giveUpUs":1500000,"goalTimeUs":900000,"idempotency":"retryable"},
 {"name":"file-claim","credit":3,"giveUpUs":1500000,"goalTimeUs":900000,"idempotency":"fragile"}],
 "familyInfo":{"cores":2,"downstream":"tier","halt":"discard","keyKb":10,"memoryKb":100000,"runFactor":8,"senders":2,
@@ -307,7 +307,7 @@
 		tier = ""
 	}
 	cfg, err := Parse(fmt.Appendf(nil, testConfig, s.listen, s.processor.ln.Addr(), control.LocalAddr(), tier,
-		option("stop_ms", "3000"), option("sockets", "200")))
+		option("stop_ms", "3000"), option("memory_mb", "192"), option("sockets", "200")))
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -132,6 +132,10 @@
 			text = request(slot, o)
 		case "checks":
 			text = request(slot, map[string]string{"SCRIPT_NAME": "/_health", "QUERY_STRING": strings.Join(w[4:], "&")})
+		case "starts": // so many reqs that never come whole
+			for i := range slot {
+				text += record(1, i+1, "\x00\x01\x01\x00\x00\x00\x00\x00") + record(4, i+1, strings.Repeat("x", 4000))
+			}
 		case "aborts":
 			text = record(2, slot, "")
 		case "raw":
--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -81,13 +81,22 @@
 	padding int
 	small   []byte // of a begin record or a question for values
 	open    map[uint16]*stream
+	held    int
 }
 
 // Open is the number of reqs that are read or not yet answered.
 func (p *Parser) Open() int { return len(p.open) }
 
+// Held is the number of bytes of reqs that are not yet whole.
+func (p *Parser) Held() int { return p.held }
+
 // Done frees a slot: its answer is written.
-func (p *Parser) Done(slot uint16) { delete(p.open, slot) }
+func (p *Parser) Done(slot uint16) {
+	if s := p.open[slot]; s != nil {
+		p.held -= len(s.params) + len(s.body)
+		delete(p.open, slot)
+	}
+}
 
 // Feed takes the next bytes and hands each message to f.
 func (p *Parser) Feed(b []byte, f func(Message)) error {
@@ -164,10 +173,12 @@
 	case p.kind == params:
 		if s.bad = s.bad || s.named || len(s.params)+len(b) > paramsMost; !s.bad {
 			s.params = append(s.params, b...)
+			p.held += len(b)
 		}
 	case p.kind == stdin:
 		if s.bad = s.bad || len(s.body)+len(b) > BodyMost; !s.bad {
 			s.body = append(s.body, b...)
+			p.held += len(b)
 		}
 	}
 }
@@ -202,6 +213,7 @@
 		if s.bad || !s.named {
 			m = Message{Kind: Bad, Slot: p.slot, Keep: s.keep}
 		}
+		p.held -= len(s.params) + len(s.body)
 		s.params, s.body = nil, nil
 		f(m)
 	case abortRequest:
--- a/internal/fastcgi/fastcgi_test.go
+++ b/internal/fastcgi/fastcgi_test.go
@@ -12,7 +12,7 @@
 	return func(b []byte) error {
 		return p.Feed(b, func(m Message) {
 			kind := []string{"", "request", "bad", "abort", "refuse", "reply"}[m.Kind]
-			print("%s %d keep=%v status=%d body=%q, %d open", kind, m.Slot, m.Keep, m.Status, m.Body, p.Open())
+			print("%s %d keep=%v status=%d body=%q, %d open, %d held", kind, m.Slot, m.Keep, m.Status, m.Body, p.Open(), p.Held())
 			if !Each(m.Params, func(name, value []byte) { print("  %q=%.40q", name, value) }) {
 				print("  parameters cut short")
 			}
