SIGHUP moves links and calls to new addresses; each call has a connection of its own

By reading, checked in the spoilt trace on the old text: one connection carried all calls (tier.go), so one spoilt reply or reset ended each of them, and a second copy of a reply was taken for the reply to a later call of the same req; a begin that the processor rejected left its req running until its due time (link.notice).

Now the signal is caught before the configuration is read. The new link to the processor is dialled while the old one works on; a question answered there proves that all commands arrived, then hello goes out with the last notice read. Calls in hand finish on their old connections, which close after 1.4 s. Each call has its own connection, up to an eighth of the descriptors; one that was given up, timed out or broke takes no more calls. A broken link is dialled anew after 2 ms instead of 20 ms. A rejected begin that nothing was heard of ends its req at once. Reports go out each 0.2 s, as a quarter is lost. A req that nobody waits for is no longer begun when a link stands again.

Covers any far side that breaks or moves; harm: more descriptors, and a dial for a call after one was given up.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -100,6 +100,24 @@
 	return b
 }
 
+// Reload has new work go to the addresses of another configuration: those of the processor, the next tier and the
+// control plane, and the time to stop. What is in hand at the old ones may finish; a drain goes on as it was. All
+// else takes a new process. It may be called from any goroutine.
+func (b *Backend) Reload(cfg Config) { b.box.Post(func() { b.reload(cfg) }) }
+
+func (b *Backend) reload(cfg Config) {
+	b.count.Reloads++
+	if cfg.Control != b.cfg.Control {
+		if err := b.lease.open(cfg.Control); err != nil {
+			b.note("control plane not reached", "why", err)
+		}
+	}
+	b.cfg.Processor, b.cfg.NextTier, b.cfg.Control, b.cfg.Stop = cfg.Processor, cfg.NextTier, cfg.Control, cfg.Stop
+	b.link.move(cfg.Processor)
+	b.tier.move(cfg.NextTier)
+	b.log.Info("configuration read anew", "processor", cfg.Processor, "next_tier", cfg.NextTier, "control", cfg.Control)
+}
+
 // Counters returns the counters, while Serve runs and after it.
 func (b *Backend) Counters() Counters {
 	reply := make(chan Counters, 1)
@@ -129,7 +147,7 @@
 	}
 	b.ln = ln
 	defer b.closeListener()
-	if err := b.lease.open(b); err != nil {
+	if err := b.lease.open(b.cfg.Control); err != nil {
 		return err
 	}
 	defer b.lease.close()
--- a/backend/counters.go
+++ b/backend/counters.go
@@ -14,7 +14,7 @@
 	Begun, Stopped, Ended, Asked                   int64
 	Calls, CallsOK, CallsFailed                    int64
 	Links, LinksLost, Rejects, Remarks, Repeated   int64
-	Reports, Batches, Events, GaugesLate           int64
+	Reports, Batches, Events, GaugesLate, Reloads  int64
 	Open, Owed                                     int64 // now: connections, reqs without their answer
 	Broken                                         int64 // invariants found broken
 }
@@ -31,6 +31,7 @@
 		slog.Group("link", "made", c.Links, "lost", c.LinksLost, "rejects", c.Rejects, "remarks", c.Remarks,
 			"gauges_late", c.GaugesLate),
 		slog.Int64("reports", c.Reports), slog.Int64("batches", c.Batches), slog.Int64("events", c.Events),
+		slog.Int64("reloads", c.Reloads),
 		slog.Int64("broken", c.Broken))
 }
 
--- a/backend/lease.go
+++ b/backend/lease.go
@@ -7,7 +7,8 @@
 	"frosthub/internal/control"
 )
 
-const reportEvery = 600 * time.Millisecond // five in the 3 s after which a silent backend leaves the list
+// Fifteen in the 3 s after which a silent backend leaves the list: datagrams are lost, and cost little.
+const reportEvery = 200 * time.Millisecond
 
 // lease reports to the control plane. It hears nothing back, so its silence changes nothing.
 type lease struct {
@@ -17,13 +18,20 @@
 	buf  []byte
 }
 
-func (l *lease) open(b *Backend) error {
-	if b.cfg.Control == "" {
+// open reports to that address from now on; one that can't be used changes nothing.
+func (l *lease) open(address string) error {
+	if address == "" {
+		l.close()
+		l.c = nil
 		return nil
 	}
-	c, err := net.Dial("udp", b.cfg.Control)
-	l.c = c
-	return err
+	c, err := net.Dial("udp", address)
+	if err != nil {
+		return err
+	}
+	l.close()
+	l.c, l.next = c, 0
+	return nil
 }
 
 func (l *lease) close() {
--- a/backend/link.go
+++ b/backend/link.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	redial    = 20 * time.Millisecond  // before the first further try to reach the processor
+	redial    = 2 * time.Millisecond   // before the first further try to reach the processor
 	redialMax = 500 * time.Millisecond // between later ones: it may come up long after this backend
+	quietMost = 50 * time.Millisecond  // for the last answer on a link that is to be replaced
 	probeWait = 250 * time.Millisecond // for the word of an interrupted run, before there was none: far past a tick
 	linkMost  = 16 << 20               // bytes of commands that may wait: all bodies and replies that can be owed
 )
@@ -23,7 +24,13 @@
 // proves that all before it arrived, and that all notices of before were read.
 type link struct {
 	b       *Backend
+	address string
 	c       *conn.Conn    // nil while there is none
+	next    *conn.Conn    // takes its place once all that was sent on c is proved to have arrived
+	quiet   uint64        // the question whose answer proves it; no commands are sent meanwhile; 0 none
+	quietBy time.Duration // it is replaced then without that
+	moved   bool          // c leads to an address that is no more
+	finish  time.Duration // it is closed then
 	up      bool          // hi was read on this one
 	last    uint64        // the last notice that was read
 	tag     uint64        // of the last question, for gauges or a trial
@@ -37,11 +44,25 @@
 	wait    time.Duration
 }
 
-func (l *link) init(b *Backend) { l.b, l.wait = b, redial }
+func (l *link) init(b *Backend) { l.b, l.address, l.wait = b, b.cfg.Processor, redial }
 
 func (l *link) lookAtTime() {
 	b := l.b
-	if l.c != nil || l.dialing {
+	if l.moved && l.c != nil {
+		if b.now >= l.finish {
+			l.c.Close(conn.ErrDone)
+			return
+		}
+		b.at(l.finish)
+	}
+	if l.quiet > 0 {
+		if b.now >= l.quietBy {
+			l.replace()
+			return
+		}
+		b.at(l.quietBy)
+	}
+	if l.c != nil && !l.moved || l.dialing || l.next != nil {
 		return
 	}
 	if b.now < l.dialAt {
@@ -49,18 +70,61 @@
 		return
 	}
 	l.dialing = true
-	b.box.Dial(b.cfg.Processor, func(c *conn.Conn, err error) {
-		l.dialing = false
-		if err != nil {
-			b.note("processor not reached", "why", err)
-			l.dialAt = b.now + l.wait
-			l.wait = min(2*l.wait, redialMax)
-			return
+	address := l.address
+	b.box.Dial(address, func(c *conn.Conn, err error) { l.dialled(address, c, err) })
+}
+
+func (l *link) dialled(address string, c *conn.Conn, err error) {
+	b := l.b
+	l.dialing = false
+	switch {
+	case address != l.address: // it has moved meanwhile
+		if err == nil {
+			c.Close(conn.ErrDone)
 		}
-		l.open(c)
-	})
+	case err != nil:
+		b.note("processor not reached", "why", err)
+		l.dialAt = b.now + l.wait
+		l.wait = min(2*l.wait, redialMax)
+	case l.up && l.resync == 0: // the old link works: nothing is left in doubt by the change
+		l.next = c
+		c.Closed = func(error) { l.next, l.quiet = nil, 0 }
+		l.usage()
+		l.quiet, l.quietBy = l.tag, b.now+quietMost
+		b.at(l.quietBy)
+	default:
+		l.next = c
+		l.replace()
+	}
+}
+
+// move has the link lead to another address; the old one is used until the new one stands.
+func (l *link) move(address string) {
+	if address == l.address {
+		return
+	}
+	l.address, l.dialAt, l.wait = address, l.b.now, redial
+	if !l.moved {
+		l.moved, l.finish = true, l.b.now+linkFinish
+	}
+	if c := l.next; c != nil {
+		c.Close(conn.ErrDone) // its end lets the old link go on
+	}
 }
 
+// replace lets the next connection take the place of the present one.
+func (l *link) replace() {
+	old, c := l.c, l.next
+	l.next, l.quiet, l.moved = nil, 0, false
+	l.open(c)
+	if old != nil {
+		old.Close(conn.ErrDone)
+	}
+}
+
+// ready tells whether commands may be sent; what is not sent now is by resume.
+func (l *link) ready() bool { return l.up && l.resync == 0 && l.quiet == 0 }
+
 func (l *link) open(c *conn.Conn) {
 	b := l.b
 	l.c, l.up = c, false
@@ -73,8 +137,11 @@
 		}
 		b.count.LinksLost++
 		b.note("link lost", "why", err)
-		l.c, l.up, l.dialAt = nil, false, b.now+l.wait
+		l.c, l.up, l.moved, l.dialAt = nil, false, false, b.now+l.wait
 		l.wait = min(2*l.wait, redialMax)
+		if l.next != nil {
+			l.replace()
+		}
 	}
 	c.Write(processor.AppendHello(nil, l.last))
 }
@@ -103,7 +170,7 @@
 }
 
 func (l *link) begin(r *req) {
-	if !l.up || l.resync > 0 {
+	if !l.ready() {
 		return // resume sends it
 	}
 	r.sent, r.mark = true, l.tag
@@ -128,7 +195,7 @@
 
 func (l *link) repeatAnswer(r *req) {
 	r.mark = l.tag
-	if !l.up || l.resync > 0 {
+	if !l.ready() {
 		return // resume sends it
 	}
 	l.b.scratch = processor.AppendAnswer(l.b.scratch[:0], r.name, r.reply)
@@ -167,6 +234,9 @@
 	case processor.Reject:
 		b.count.Rejects++
 		b.note("processor rejects", "command", n.Text)
+		if r := b.reqs[n.ID]; r != nil && n.Text == "begin" && r.at == running && r.sent && !r.seen {
+			b.ended(r, overload.Moot, 0, nil) // the processor knows no such req: nothing was run
+		}
 	case processor.Remark:
 		b.count.Remarks++
 	}
@@ -209,6 +279,10 @@
 	if b.gaugesBy > 0 {
 		b.timerEvent()
 	}
+	if l.quiet > 0 && n.Tag >= l.quiet {
+		l.replace()
+		return
+	}
 	if l.resync > 0 && n.Tag >= l.resync {
 		l.resync = 0
 		l.resume(before)
@@ -252,6 +326,8 @@
 		doubt := r.mark >= acked
 		switch {
 		case r.at < running:
+		case !r.sent && !b.owes(r):
+			b.ended(r, overload.Moot, 0, nil)
 		case !r.sent:
 			l.begin(r)
 		case doubt && !r.seen && b.owes(r) && b.handlers[r.h].replayable && !r.stop:
--- a/backend/main.go
+++ b/backend/main.go
@@ -11,8 +11,11 @@
 )
 
 // Main runs one backend as a process: configuration from the environment, log on standard error, SIGTERM to
-// leave, SIGUSR1 to print the counters.
+// leave, SIGHUP to read the configuration anew, SIGUSR1 to print the counters.
 func Main() error {
+	asked := make(chan os.Signal, 8)
+	signal.Notify(asked, syscall.SIGHUP, syscall.SIGUSR1) // before all else: unheeded they end the process
+	defer signal.Stop(asked)
 	cfg, err := Load()
 	if err != nil {
 		return err
@@ -23,12 +26,31 @@
 	defer stop()
 	conn.SetLog(log)
 	b := New(cfg, log)
-	usr1 := make(chan os.Signal, 1)
-	signal.Notify(usr1, syscall.SIGUSR1)
+	done := make(chan struct{})
+	defer close(done)
 	go func() {
-		for range usr1 {
-			log.Info("counters", "counters", b.Counters())
+		for {
+			select {
+			case s := <-asked:
+				b.heed(s)
+			case <-done:
+				return
+			}
 		}
 	}()
 	return b.Serve(ctx)
 }
+
+// heed follows a signal. A configuration that can't be used changes nothing.
+func (b *Backend) heed(s os.Signal) {
+	if s == syscall.SIGUSR1 {
+		b.log.Info("counters", "counters", b.Counters())
+		return
+	}
+	cfg, err := Load()
+	if err != nil {
+		b.log.Error("configuration not taken", "why", err)
+		return
+	}
+	b.Reload(cfg)
+}
--- a/backend/stand_test.go
+++ b/backend/stand_test.go
@@ -32,8 +32,11 @@
 	leave     context.CancelFunc
 	processor *peer
 	tier      *peer
+	peers     []*peer // those and their forerunners
 	edges     map[string]*edgeNode
+	control   net.PacketConn
 	listen    string
+	options   map[string]string
 	n         int // notices sent
 }
 
@@ -75,13 +78,14 @@
 	name string
 	ln   net.Listener
 	mu   sync.Mutex
-	c    net.Conn
+	c    net.Conn            // that spoke last
+	of   map[string]net.Conn // that named an id last
+	all  []net.Conn
 	mute bool // the processor does not answer for the gauges
-	got  int  // commands of the link that stands
 }
 
 func newPeer(s *stage, name string) *peer {
-	p := &peer{s: s, name: name}
+	p := &peer{s: s, name: name, of: map[string]net.Conn{}}
 	p.open("127.0.0.1:0")
 	return p
 }
@@ -100,7 +104,7 @@
 				return
 			}
 			p.mu.Lock()
-			p.c = c
+			p.all = append(p.all, c)
 			p.mu.Unlock()
 			go p.read(c)
 		}
@@ -126,6 +130,11 @@
 			p.mu.Unlock()
 			continue
 		}
+		p.mu.Lock()
+		if p.c = c; len(words) > 1 {
+			p.of[words[1]] = c
+		}
+		p.mu.Unlock()
 		if bodies[words[0]] {
 			n, _ := strconv.Atoi(words[len(words)-1])
 			body := make([]byte, n+2)
@@ -151,19 +160,30 @@
 func (p *peer) write(text string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.c == nil {
+	c := p.c
+	if word, _, _ := strings.Cut(text, " "); p.of[word] != nil {
+		c = p.of[word]
+	}
+	if c == nil {
 		p.s.print(p.name, "nobody has connected")
 		return
 	}
-	_, _ = io.WriteString(p.c, text)
+	_, _ = io.WriteString(c, text)
 }
 
 func (p *peer) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.c != nil {
-		_ = p.c.Close()
+	for _, c := range p.all {
+		_ = c.Close()
 	}
+	p.all = nil
+}
+
+// shut ends the connections and listens no more.
+func (p *peer) shut() {
+	_ = p.ln.Close()
+	p.close()
 }
 
 // edgeNode is one connection of an edge node.
@@ -270,13 +290,16 @@
 "invariants":{"answerSlackUs":80000,"drainGraceUs":300000,"fallMultiple":8},
 "limits":{"maxRetryAfterUs":1000000,"retryAfter":true}}}`
 
-// start has the backend come up; options are stop_ms, sockets and "last" for the last tier.
-func (s *stage) start(options map[string]string) {
-	s.processor, s.tier = newPeer(s, "processor"), newPeer(s, "tier")
+// newPeers has new stand-ins listen; their lines start with the word before their name.
+func (s *stage) newPeers(word string) {
+	s.processor, s.tier = newPeer(s, word+"processor"), newPeer(s, word+"tier")
+	s.peers = append(s.peers, s.processor, s.tier)
 	control, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	s.control = control
+	s.t.Cleanup(func() { _ = control.Close() })
 	go func() {
 		buf, said := make([]byte, 100), ""
 		for {
@@ -286,42 +309,56 @@
 			}
 			if text := string(buf[:n]); text != said {
 				said = text
-				s.print("control", "%s", text)
+				s.print(word+"control", "%s", text)
 			}
 		}
 	}()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.listen = free.Addr().String()
-	_ = free.Close()
+}
+
+// text is the configuration of the present stand-ins.
+func (s *stage) text() []byte {
 	option := func(k, missing string) string {
-		if v, ok := options[k]; ok {
+		if v, ok := s.options[k]; ok {
 			return v
 		}
 		return missing
 	}
 	tier := s.tier.ln.Addr().String()
-	if options["last"] != "" {
+	if s.options["last"] != "" {
 		tier = ""
 	}
-	cfg, err := Parse(fmt.Appendf(nil, testConfig, s.listen, s.processor.ln.Addr(), control.LocalAddr(), tier,
-		option("stop_ms", "3000"), option("memory_mb", "192"), option("sockets", "200")))
+	return fmt.Appendf(nil, testConfig, s.listen, s.processor.ln.Addr(), s.control.LocalAddr(), tier,
+		option("stop_ms", "3000"), option("memory_mb", "192"), option("sockets", "200"))
+}
+
+func (s *stage) config() Config {
+	cfg, err := Parse(s.text())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return cfg
+}
+
+// start has the backend come up; options are stop_ms, sockets and "last" for the last tier.
+func (s *stage) start(options map[string]string) {
+	s.options = options
+	s.newPeers("")
+	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	s.listen = free.Addr().String()
+	_ = free.Close()
+	cfg := s.config()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.leave = cancel
 	s.b = New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	go func() { s.print("backend", "ended: %v", s.b.Serve(ctx)) }()
 	s.t.Cleanup(func() {
 		cancel()
-		_ = control.Close()
-		_ = s.processor.ln.Close()
-		_ = s.tier.ln.Close()
-		s.processor.close()
-		s.tier.close()
+		for _, p := range s.peers {
+			p.shut()
+		}
 		for _, e := range s.edges {
 			_ = e.c.Close()
 		}
--- a/backend/tier.go
+++ b/backend/tier.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"frosthub/internal/conn"
@@ -9,29 +11,48 @@
 )
 
 const (
-	callGrace = 20 * time.Millisecond // past a call's time-out: the far side should say so first
-	tierIdle  = 8 * time.Second       // the far side closes at 10 s: closing first, no call meets that
-	tierMost  = 4 << 20               // bytes of calls that may wait
+	callGrace  = 20 * time.Millisecond   // past a call's time-out: the far side should say so first
+	wireIdle   = 2 * time.Second         // the far side closes idle ones at 10 s, some far sooner: it goes first
+	wireShare  = 0.125                   // of the descriptors, for connections to the next tier
+	wireMost   = 256 << 10               // bytes of calls that may wait on a connection
+	linkFinish = 1400 * time.Millisecond // for what is in hand on connections to addresses that are no more: they
+	// are closed there after 1.5 s
 )
 
-// tier is the connection to the next tier.
+// tier makes calls to the next tier. As long as there is room for more connections each carries one call at a
+// time: a spoilt reply, a reset or a reply that never comes then costs that call alone. What is in doubt is not
+// used again. Covers any far side that breaks in one call; where it is sound it costs descriptors.
 type tier struct {
 	b       *Backend
-	c       *conn.Conn
-	dialing bool
+	address string
+	wires   map[*wire]struct{}
+	idle    []*wire // free ones, the last used at the end
+	queue   []*call // wait for a connection, in order
+	dialing int     // for those in the queue
 	calls   map[uint64]*call
-	used    time.Duration
+}
+
+// wire is one connection to the next tier.
+type wire struct {
+	c      *conn.Conn
+	calls  map[uint64]*call // in hand on it
+	last   uint64           // whose call it carried last: a second copy of that reply may follow
+	used   time.Duration
+	doubt  bool          // takes no more calls
+	finish time.Duration // closed then whatever is in hand; 0 not
 }
 
 // call is a call in hand.
 type call struct {
 	r     *req
+	w     *wire // nil while it waits for one
 	began time.Duration
 	till  time.Duration
-	sent  bool
 }
 
-func (t *tier) init(b *Backend) { t.b, t.calls = b, map[uint64]*call{} }
+func (t *tier) init(b *Backend) {
+	t.b, t.address, t.wires, t.calls = b, b.cfg.NextTier, map[*wire]struct{}{}, map[uint64]*call{}
+}
 
 func (t *tier) invoke(r *req, after time.Duration) {
 	b := t.b
@@ -39,135 +60,240 @@
 	k := &call{r: r, began: b.now, till: b.now + after}
 	r.at, r.call = calling, k
 	t.calls[r.id] = k
-	t.used = b.now
-	if b.cfg.NextTier == "" {
+	if t.address == "" {
 		t.end(k, overload.NoConnection)
 		return
 	}
-	if t.c != nil {
-		t.send(k)
-	} else if !t.dialing {
-		t.dialing = true
-		b.box.Dial(b.cfg.NextTier, t.dialled)
-	}
+	t.place(k)
 }
 
-func (t *tier) send(k *call) {
+// place gives a call a connection: a free one, a new one, or where there is no room for more the one with the
+// fewest calls.
+func (t *tier) place(k *call) {
 	b := t.b
-	k.sent = true
-	b.scratch = nexttier.AppendInvoke(b.scratch[:0], k.r.name, k.till-b.now, k.r.ask)
-	t.c.Write(b.scratch)
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		w := t.idle[i]
+		if w.last != k.r.id && b.now-w.used < wireIdle {
+			t.idle = slices.Delete(t.idle, i, i+1)
+			t.send(w, k)
+			return
+		}
+	}
+	if float64(len(t.wires)+t.dialing) < max(1, wireShare*float64(b.cfg.Limits.Sockets)) {
+		t.queue = append(t.queue, k)
+		t.dial()
+		return
+	}
+	var least *wire
+	for w := range t.wires { // a minimum of one kind: which of its equals does not matter
+		if !w.doubt && w.last != k.r.id && (least == nil || len(w.calls) < len(least.calls)) {
+			least = w
+		}
+	}
+	if least == nil {
+		t.queue = append(t.queue, k) // all are being dialled or in doubt
+		return
+	}
+	t.send(least, k)
+}
+
+func (t *tier) dial() {
+	t.dialing++
+	address := t.address
+	t.b.box.Dial(address, func(c *conn.Conn, err error) { t.dialled(address, c, err) })
 }
 
-func (t *tier) dialled(c *conn.Conn, err error) {
+// dialMore dials where more wait than are dialled for.
+func (t *tier) dialMore() {
+	if len(t.queue) > t.dialing {
+		t.dial()
+	}
+}
+
+func (t *tier) dialled(address string, c *conn.Conn, err error) {
 	b := t.b
-	t.dialing = false
-	if err != nil {
-		b.note("next tier not reached", "why", err)
-		t.endAll(overload.NoConnection)
+	t.dialing--
+	if address != t.address { // replaced meanwhile
+		if err == nil {
+			c.Close(conn.ErrDone)
+		}
+		t.dialMore()
 		return
 	}
-	t.c, t.used = c, b.now
-	c.Most = tierMost
-	c.Data = b.noting("bad reply", nexttier.NewParser(t.reply).Feed)
-	c.Closed = func(err error) {
-		if t.c != c {
-			return
+	if err != nil {
+		b.note("next tier not reached", "why", err)
+		if k := t.first(); k != nil {
+			t.end(k, overload.NoConnection)
 		}
-		t.c = nil
-		t.endAll(overload.BrokenOff)
+		t.dialMore()
+		return
 	}
-	for _, r := range b.known() {
-		if k := r.call; k != nil && !k.sent {
-			t.send(k)
+	w := &wire{c: c, calls: map[uint64]*call{}, used: b.now}
+	t.wires[w] = struct{}{}
+	c.Most = wireMost
+	c.Data = b.noting("bad reply", nexttier.NewParser(func(p nexttier.Reply) { t.reply(w, p) }).Feed)
+	c.Closed = func(error) { t.closed(w) }
+	t.free(w)
+}
+
+// first takes the first of the queue that still waits.
+func (t *tier) first() *call {
+	for len(t.queue) > 0 {
+		k := t.queue[0]
+		t.queue = t.queue[1:]
+		if k.r.call == k {
+			return k
 		}
 	}
+	return nil
 }
 
-// endAll ends the calls of a connection that is no more; what was never sent never ran.
-func (t *tier) endAll(how overload.Outcome) {
-	for _, r := range t.b.known() {
-		if k := r.call; k != nil {
-			if !k.sent {
-				t.end(k, overload.NoConnection)
-			} else {
-				t.end(k, how)
-			}
-		}
+// free has a connection without calls take the next, or wait for one.
+func (t *tier) free(w *wire) {
+	if w.doubt {
+		t.close(w)
+		return
 	}
+	if k := t.first(); k != nil {
+		t.send(w, k)
+		return
+	}
+	t.idle = append(t.idle, w)
+}
+
+func (t *tier) send(w *wire, k *call) {
+	b := t.b
+	k.w, w.last, w.used = w, k.r.id, b.now
+	w.calls[k.r.id] = k
+	b.scratch = nexttier.AppendInvoke(b.scratch[:0], k.r.name, k.till-b.now, k.r.ask)
+	w.c.Write(b.scratch)
 }
 
-func (t *tier) reply(p nexttier.Reply) {
-	t.used = t.b.now
-	k := t.calls[p.ID]
+func (t *tier) reply(w *wire, p nexttier.Reply) {
+	k := w.calls[p.ID]
 	if k == nil {
-		return // given up
+		return // given up, a second copy, or none of ours
 	}
+	w.used = t.b.now
 	if p.Outcome == overload.OK {
 		t.b.link.answer(k.r, p.Body)
 	}
 	t.end(k, p.Outcome)
+	if len(w.calls) == 0 {
+		t.free(w)
+	}
+}
+
+// closed follows the end of a connection: nothing is proved of the calls on it.
+func (t *tier) closed(w *wire) {
+	t.forget(w)
+	for _, id := range slices.Sorted(maps.Keys(w.calls)) {
+		t.end(w.calls[id], overload.BrokenOff)
+	}
+	t.dialMore()
+}
+
+func (t *tier) forget(w *wire) {
+	w.doubt = true
+	delete(t.wires, w)
+	t.idle = slices.DeleteFunc(t.idle, func(o *wire) bool { return o == w })
+}
+
+// close ends a connection, and with it what is in hand there.
+func (t *tier) close(w *wire) {
+	t.forget(w)
+	w.c.Close(conn.ErrDone)
 }
 
 func (t *tier) end(k *call, how overload.Outcome) {
 	b := t.b
 	r := k.r
-	delete(t.calls, r.id)
-	r.call = nil
+	t.letGo(k)
 	if how == overload.OK {
 		b.count.CallsOK++
 		r.at = running
 	} else {
 		b.count.CallsFailed++
-		r.at = asking
 	}
 	b.events = append(b.events, overload.Event{Kind: overload.CallEnded, ID: r.id, Outcome: how, Took: b.now - k.began})
 }
 
-// cancel gives up the call of a req, if there is one.
+func (t *tier) letGo(k *call) {
+	delete(t.calls, k.r.id)
+	if k.w != nil {
+		delete(k.w.calls, k.r.id)
+	}
+	k.r.call, k.r.at = nil, asking
+}
+
+// cancel gives up the call of a req, if there is one. Its reply may be under way or never come, so its
+// connection takes no more.
 func (t *tier) cancel(r *req) {
 	k := r.call
 	if k == nil {
 		return
 	}
-	delete(t.calls, r.id)
-	r.call, r.at = nil, asking
-	if k.sent && t.c != nil {
-		t.b.scratch = nexttier.AppendCancel(t.b.scratch[:0], r.name)
-		t.c.Write(t.b.scratch)
+	t.letGo(k)
+	w := k.w
+	if w == nil {
+		return
+	}
+	w.doubt = true
+	t.b.scratch = nexttier.AppendCancel(t.b.scratch[:0], r.name)
+	w.c.Write(t.b.scratch)
+	if len(w.calls) == 0 {
+		t.forget(w)
+		w.c.End()
 	}
 }
 
-// timeOut gives up the calls whose time has passed.
-func (t *tier) timeOut() {
-	for _, r := range t.b.known() {
-		if k := r.call; k != nil && t.b.now >= k.till+callGrace {
-			t.cancel(r)
-			t.end(k, overload.TimedOut)
+// move has new calls go to another address; what is in hand may finish.
+func (t *tier) move(address string) {
+	if address == t.address {
+		return
+	}
+	t.address = address
+	for address == "" && len(t.queue) > 0 {
+		if k := t.first(); k != nil {
+			t.end(k, overload.NoConnection)
+		}
+	}
+	for w := range t.wires { // each alike
+		w.doubt, w.finish = true, t.b.now+linkFinish
+		if len(w.calls) == 0 {
+			t.close(w)
 		}
 	}
 }
 
+// lookAtTime gives up the calls whose time has passed and closes connections that are idle or out of time.
 func (t *tier) lookAtTime() {
 	b := t.b
-	if len(t.calls) > 0 {
-		due := false
-		for _, k := range t.calls { // a minimum: the order does not matter
-			b.at(k.till + callGrace)
-			due = due || b.now >= k.till+callGrace
+	var late []uint64
+	for id, k := range t.calls {
+		if due := k.till + callGrace; b.now >= due {
+			late = append(late, id)
+		} else {
+			b.at(due)
 		}
-		if due {
-			t.timeOut()
-		}
-		return
 	}
-	if t.c != nil {
-		if b.now-t.used >= tierIdle {
-			c := t.c
-			t.c = nil
-			c.Close(conn.ErrDone)
-			return
+	slices.Sort(late)
+	for _, id := range late {
+		k := t.calls[id]
+		t.cancel(k.r)
+		t.end(k, overload.TimedOut)
+	}
+	for len(t.idle) > 0 && b.now-t.idle[0].used >= wireIdle {
+		t.close(t.idle[0])
+	}
+	if len(t.idle) > 0 {
+		b.at(t.idle[0].used + wireIdle)
+	}
+	for w := range t.wires { // each alike
+		if w.finish > 0 && b.now >= w.finish {
+			t.close(w)
+		} else if w.finish > 0 {
+			b.at(w.finish)
 		}
-		b.at(t.used + tierIdle)
 	}
 }
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -57,6 +57,9 @@
 		time.Sleep(d)
 	case "leave":
 		s.leave()
+	case "moves": // all that the backend talks to is elsewhere from now on
+		s.newPeers("new ")
+		s.b.Reload(s.config())
 	case "pause": // the owner stands still, as on a machine that does; what is sent to it lies unread
 		d, _ := time.ParseDuration(w[1])
 		s.b.box.Post(func() { time.Sleep(d) })
@@ -87,8 +90,12 @@
 		s.print("counters", "reqs %d, done %d, shed %d, errored %d, gone %d, owed %d, bad reqs %d, bad connections %d, "+
 			"begun %d, ended %d, repeated %d, rejects %d, remarks %d, broken %d", c.Reqs, c.Done, c.Shed, c.Errored, c.Gone,
 			c.Owed, c.BadReqs, c.BadConns, c.Begun, c.Ended, c.Repeated, c.Rejects, c.Remarks, c.Broken)
-	case "processor", "tier":
+	case "processor", "tier", "old":
 		p := map[string]*peer{"processor": s.processor, "tier": s.tier}[w[0]]
+		if w[0] == "old" { // the stand-ins before they moved
+			w = w[1:]
+			p = map[string]*peer{"processor": s.peers[0], "tier": s.peers[1]}[w[0]]
+		}
 		switch w[1] {
 		case "says":
 			p.write(unescape(w[2:]) + "\r\n")
@@ -106,8 +113,7 @@
 		case "breaks":
 			p.close()
 		case "shuts": // and listens no more
-			_ = p.ln.Close()
-			p.close()
+			p.shut()
 		}
 	case "edge":
 		e := s.edge(w[1])
