Idle, silent and flooding connections are closed in time; what waits unread is bounded over all

Now a connection that sent no whole req in 2.5 s, or a req that is not whole after 2.5 s, is closed or refused; a connection idle for 3 s is closed, after 0.3 s it keeps no buffers. A body past its limit is refused at once and its connection closed; after eight bad reqs in a row too. What is read and not handled has a bound for each connection and, as a share of the memory limit, over all. The poller stands back after it has handed something over: with one thread it read on for milliseconds. Bounds of the link, of results kept and of half sent reqs are shares of the limit. Figures out of range do not reach the module, nor does a start older than its client's timeout.

Covers any client that holds what it does not use. Harm: an edge node that comes less often than each 3 s dials anew.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -16,17 +17,19 @@
 )
 
 const (
-	gaugeWait   = 10 * time.Millisecond  // for the gauges, then the last ones must do: short of a look
-	tidyEvery   = 100 * time.Millisecond // between looks at idle connections
-	closeBefore = 300 * time.Millisecond // of the stop: time for what crosses the closing
-	leaveBefore = 150 * time.Millisecond // of the stop: what the module takes for it, so that its last answers get out
-	exitBefore  = 100 * time.Millisecond // of the stop: time to end the process
-	giveUp      = 20 * time.Millisecond  // of the stop: to end it whatever is left
-	lookLeaving = 10 * time.Millisecond  // between looks at what may be closed in between
-	outShare    = 0.2                    // of the memory limit, for answers that edge nodes leave
-	spare       = 16                     // descriptors kept for the processor, calls, reports and the runtime
-	crowdedAt   = 0.8                    // part of the connections from which idle ones are closed early
-	startSpan   = time.Hour              // how far back a processor may have started: times stay positive
+	gaugeWait      = 10 * time.Millisecond  // for the gauges, then the last ones must do: short of a look
+	tidyEvery      = 100 * time.Millisecond // between looks at idle connections
+	closeBefore    = 300 * time.Millisecond // of the stop: time for what crosses the closing
+	leaveBefore    = 150 * time.Millisecond // of the stop: what the module takes for it, so that its last answers get out
+	exitBefore     = 100 * time.Millisecond // of the stop: time to end the process
+	giveUp         = 20 * time.Millisecond  // of the stop: to end it whatever is left
+	lookLeaving    = 10 * time.Millisecond  // between looks at what may be closed in between
+	outShare       = 0.2                    // of the memory limit, for answers that edge nodes leave
+	spare          = 16                     // descriptors kept for the processor, calls, reports and the runtime
+	crowdedAt      = 0.8                    // part of the connections from which idle ones are closed early
+	timeoutMissing = 10 * time.Second       // of a handler's clients where none is told: as the module takes it
+	inShare        = 0.125                  // of the memory limit, for what is read and not yet handled of all
+	startSpan      = time.Hour              // how far back a processor may have started: times stay positive
 )
 
 // Backend is one backend. Make it with New.
@@ -73,6 +76,7 @@
 type handler struct {
 	name       string
 	replayable bool
+	timeout    time.Duration
 }
 
 // New prepares a backend. A nil logger is slog's default.
@@ -91,7 +95,11 @@
 	for _, v := range list {
 		m, _ := v.(map[string]any)
 		name, _ := m["name"].(string)
-		b.handlers = append(b.handlers, handler{name: name, replayable: m["repeats"] == "replayable"})
+		timeout, ok := m["client_timeout"].(time.Duration)
+		if !ok {
+			timeout = timeoutMissing
+		}
+		b.handlers = append(b.handlers, handler{name: name, replayable: m["repeats"] == "replayable", timeout: timeout})
 	}
 	b.front.init(b)
 	b.link.init(b)
@@ -139,7 +147,8 @@
 func (b *Backend) Serve(ctx context.Context) error {
 	defer close(b.stopped)
 	if b.cfg.Limits.MemoryMB > 0 {
-		b.box.Most = int(outShare * b.cfg.Limits.MemoryMB * (1 << 20))
+		b.box.Most = int(b.share(outShare))
+		b.box.InMost = int64(b.share(inShare))
 	}
 	ln, err := b.box.Listen(b.cfg.Listen, b.cfg.Limits.Sockets-spare, b.front.accept, func() { b.turned.Add(1) })
 	if err != nil {
@@ -183,6 +192,14 @@
 	}
 }
 
+// share is so much of the memory limit, in bytes.
+func (b *Backend) share(part float64) float64 {
+	if b.cfg.Limits.MemoryMB <= 0 {
+		return math.Inf(1)
+	}
+	return part * b.cfg.Limits.MemoryMB * (1 << 20)
+}
+
 // clock takes the time of this turn, from both clocks at one moment.
 func (b *Backend) clock() time.Time {
 	t := time.Now()
@@ -271,7 +288,7 @@
 	}
 	invariant.Check(owed == b.owed && owed == slots, "held and running reqs are those owed, each on one slot")
 	invariant.Check(calls == len(b.tier.calls), "calls in hand are those of reqs")
-	invariant.Check(b.keys.kept <= keptMost, "kept results stay within their bound")
+	invariant.Check(float64(b.keys.kept) <= b.share(keptShare), "kept results stay within their bound")
 }
 
 // come makes the controller once the processor is up.
--- a/backend/front.go
+++ b/backend/front.go
@@ -17,12 +17,17 @@
 )
 
 const (
-	sizeMost   = 2000.0           // kilobytes booked for a req, by the protocol
-	unreadMost = 10 * time.Minute // a req older than this is as late as one can be
-	trialWait  = time.Second      // for a deep health check: edge nodes wait no longer
-	outMost    = 192 << 10        // bytes of answers that one edge node may leave: 32 of the longest are 140 KB
-	partShare  = 0.15             // of the memory limit, for reqs that are not yet whole
-	partMost   = 10 * time.Second // for a req to come whole: its client has gone by then
+	sizeMost  = 2000.0                  // kilobytes booked for a req, by the protocol
+	costMost  = 10                      // client timeouts that a told cost may be: past it nothing could come of the req
+	aheadMost = time.Minute             // of this clock that a start may be: the same machine told it
+	trialWait = time.Second             // for a deep health check: edge nodes wait no longer
+	outMost   = 192 << 10               // bytes of answers that one edge node may leave: 32 of the longest are 140 KB
+	partShare = 0.15                    // of the memory limit, for reqs that are not yet whole
+	wholeMost = 2500 * time.Millisecond // from the connection, and from its begin, until a req is whole: 3 s are
+	// owed to those that never send one
+	idleMost = 3 * time.Second        // between reqs: edge nodes close idle connections after some seconds, some never
+	restIdle = 300 * time.Millisecond // idle for so long a connection keeps no memory
+	badMost  = 8                      // bad reqs of a connection since the last good one that was run
 )
 
 var (
@@ -45,8 +50,12 @@
 	p      fastcgi.Parser
 	open   map[uint16]*req
 	checks map[uint16]check
-	used   time.Duration // when it last carried something
-	cut    bool          // closed for what it held; its end is still to be told
+	since  time.Duration // when it was accepted
+	used   time.Duration // when it last carried a whole req or an answer
+	bad    int           // bad reqs since the last one that was run
+	sent   bool          // it has sent a whole req
+	rested bool          // it keeps no memory
+	cut    bool          // closed here; its end is still to be told
 }
 
 // idle tells whether nothing is open and nothing waits to be sent.
@@ -63,16 +72,20 @@
 
 func (f *front) accept(c *conn.Conn) {
 	b := f.b
-	e := &edge{c: c, open: map[uint16]*req{}, used: b.now}
+	e := &edge{c: c, open: map[uint16]*req{}, since: b.now, used: b.now}
 	f.edges[e] = struct{}{}
 	b.count.Conns++
 	c.Most = outMost
 	c.Data = func(p []byte) error {
-		e.used = b.now
+		if e.cut {
+			return nil
+		}
+		e.rested = false
+		e.p.Now = b.now
 		before := e.p.Held()
 		err := e.p.Feed(p, func(m fastcgi.Message) { f.message(e, m) })
 		f.parts += e.p.Held() - before
-		if most := partShare * b.cfg.Limits.MemoryMB * (1 << 20); err == nil && most > 0 && float64(f.parts) > most {
+		if err == nil && float64(f.parts) > b.share(partShare) {
 			f.cutWorst()
 		}
 		if err != nil {
@@ -99,22 +112,34 @@
 			worst = e
 		}
 	}
+	f.cut(worst, errParts)
+}
+
+// cut closes the connection of one that does not keep to the protocol.
+func (f *front) cut(e *edge, why error) {
 	f.b.count.BadConns++
-	f.b.note("bad connection", "from", "edge node", "why", errParts)
-	f.parts -= worst.p.Held()
-	worst.p, worst.cut = fastcgi.Parser{}, true
-	worst.c.Close(errParts)
+	f.b.note("bad connection", "from", "edge node", "why", why)
+	f.parts -= e.p.Held()
+	e.p, e.cut = fastcgi.Parser{}, true
+	e.c.Close(why)
+}
+
+// bad answers a req that can't be taken. Who sends nothing else is closed: it would begin again at once.
+func (f *front) bad(e *edge, slot uint16, keep bool, status, why string) {
+	f.b.count.BadReqs++
+	f.b.note("bad req", "why", why)
+	e.bad++
+	f.answer(e, slot, keep && e.bad < badMost, status, nil, nil)
 }
 
 func (f *front) message(e *edge, m fastcgi.Message) {
 	b := f.b
+	e.used, e.sent = b.now, true
 	switch m.Kind {
 	case fastcgi.Request:
 		f.request(e, m)
 	case fastcgi.Bad:
-		b.count.BadReqs++
-		b.note("bad req", "why", "too large, or without its parameters")
-		f.answer(e, m.Slot, m.Keep, "400 Bad Request", nil, nil)
+		f.bad(e, m.Slot, false, "400 Bad Request", "too large, or without its parameters")
 	case fastcgi.Abort:
 		if r := e.open[m.Slot]; r != nil {
 			delete(e.open, m.Slot)
@@ -156,7 +181,10 @@
 		case "HTTP_X_REQUEST_START":
 			started, hasStart = number(v, math.MaxInt64/2), true
 		case "HTTP_X_CALLER":
-			ev.Caller = int(number(v, math.MaxInt32))
+			n := number(v, math.MaxInt32)
+			if ev.Caller = int(n); float64(ev.Caller) != n {
+				why = "a field is no number in its range"
+			}
 		case "HTTP_X_COST_MS":
 			ev.Hint = time.Duration(number(v, 1e9) * float64(time.Millisecond))
 		case "HTTP_X_MEMORY_KB":
@@ -184,17 +212,19 @@
 		why = "no id of 16 hex digits"
 	case !hasStart || ev.Size == 0:
 		why = "start or memory is missing"
+	case ev.Rank == 1 || ev.Size == sizeMost || ev.Hint > costMost*b.handlers[r.h].timeout ||
+		started > float64(b.unix+aheadMost.Milliseconds()):
+		why = "a field is out of its range"
 	case b.reqs[r.id] != nil:
 		why = "an id that is in use"
 	}
 	if why != "" {
-		b.count.BadReqs++
-		b.note("bad req", "why", why)
-		f.answer(e, m.Slot, m.Keep, status, nil, nil)
+		f.bad(e, m.Slot, m.Keep, status, why)
 		return
 	}
 	b.count.Reqs++
-	if b.ctl == nil { // none should come before the processor is up
+	unread := max(0, time.Duration(b.unix-int64(started))*time.Millisecond)
+	if b.ctl == nil || unread > b.handlers[r.h].timeout { // nobody waits; so old a start would tell of a standstill
 		b.count.Shed++
 		f.answer(e, m.Slot, m.Keep, "503 Service Unavailable", nil, nil)
 		return
@@ -204,7 +234,7 @@
 		r.fore = b.keys.repeatOf(r.of)
 		ev.RepeatOf = r.fore
 	}
-	ev.Unread = min(max(0, time.Duration(b.unix-int64(started))*time.Millisecond), unreadMost)
+	ev.Unread = unread
 	b.reqs[r.id] = r
 	b.owed++
 	e.open[m.Slot] = r
@@ -246,7 +276,10 @@
 	f.answer(e, slot, keep, "503 Service Unavailable", nil, nil)
 }
 
-func (f *front) done(r *req, result []byte) { f.final(r, "200 OK", nil, result) }
+func (f *front) done(r *req, result []byte) {
+	r.edge.bad = 0
+	f.final(r, "200 OK", nil, result)
+}
 
 func (f *front) errored(r *req) { f.final(r, "500 Internal Server Error", nil, nil) }
 
@@ -302,6 +335,7 @@
 func (f *front) tidy() {
 	b := f.b
 	most := int(crowdedAt * float64(b.cfg.Limits.Sockets-spare))
+	keepFor := min(idleMost, cmp.Or(b.keep, idleMost))
 	var idle []*edge
 	for e := range f.edges {
 		for slot, k := range e.checks {
@@ -310,17 +344,21 @@
 				f.health(e, slot, k.keep, false)
 			}
 		}
-		if e.p.Open() > len(e.open)+len(e.checks) && b.now-e.used >= partMost {
-			b.count.BadConns++
-			b.note("bad connection", "from", "edge node", "why", errPart)
-			e.c.Close(errPart)
-		} else if e.idle() {
-			if b.keep > 0 && b.now-e.used >= b.keep {
-				b.count.ConnsTrimmed++
-				e.c.Close(errIdle)
-			} else if len(f.edges) > most {
-				idle = append(idle, e)
-			}
+		switch slot, keep := e.p.Late(b.now - wholeMost); {
+		case e.cut:
+		case !e.sent && b.now-e.since >= wholeMost:
+			f.cut(e, errPart)
+		case slot > 0: // its other reqs may be good
+			f.bad(e, slot, keep, "400 Bad Request", errPart.Error())
+		case !e.idle():
+		case b.now-e.used >= keepFor:
+			b.count.ConnsTrimmed++
+			e.c.Close(errIdle)
+		case len(f.edges) > most:
+			idle = append(idle, e)
+		case !e.rested && b.now-e.used >= restIdle:
+			e.rested = true
+			e.c.Rest()
 		}
 	}
 	if len(idle) > 0 {
--- a/backend/keys.go
+++ b/backend/keys.go
@@ -6,7 +6,7 @@
 	"frosthub/overload"
 )
 
-const keptMost = 16 << 20 // bytes of results kept for repeats: a twelfth of the memory limit on scored days
+const keptShare = 0.08 // of the memory limit, for results kept for repeats
 
 // subject is what reads must have in common so that one may be answered from another's result.
 type subject struct {
@@ -80,7 +80,7 @@
 // the same.
 func (k *keys) ended(f *req, how overload.Outcome, result []byte) {
 	if e := k.byID[f.id]; e != nil {
-		if how == overload.OK && k.kept+len(result) <= keptMost {
+		if how == overload.OK && float64(k.kept+len(result)) <= k.b.share(keptShare) {
 			e.ended, e.result = true, append([]byte(nil), result...)
 			k.kept += len(result)
 		} else {
--- a/backend/link.go
+++ b/backend/link.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -16,7 +17,7 @@
 	redialMax = 500 * time.Millisecond // between later ones: it may come up long after this backend
 	quietMost = 50 * time.Millisecond  // for the last answer on a link that is to be replaced
 	probeWait = 250 * time.Millisecond // for the word of an interrupted run, before there was none: far past a tick
-	linkMost  = 16 << 20               // bytes of commands that may wait: all bodies and replies that can be owed
+	linkShare = 0.25                   // of the memory limit, for commands that wait, and as much for notices
 )
 
 // link is the link to the processor. It may break; what was sent on it then may or may not have arrived. The
@@ -129,7 +130,8 @@
 	b := l.b
 	l.c, l.up = c, false
 	b.count.Links++
-	c.Most = linkMost
+	c.Most = int(min(b.share(linkShare), math.MaxInt32))
+	c.Trust(c.Most)
 	c.Data = b.noting("bad link", processor.NewParser(l.notice).Feed)
 	c.Closed = func(err error) {
 		if l.c != c {
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"math"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -22,8 +23,9 @@
 )
 
 const (
-	inMost     = 256 << 10              // bytes read and not yet handled, beyond which netpoll's reader waits
-	unreadMost = 32 << 20               // bytes netpoll may hold of one connection then: all notices ever kept
+	outMost    = 256 << 10              // bytes that may wait for a peer, where nothing else is said
+	kernelMost = 64 << 10               // bytes the system takes in for a connection accepted: all that is open on one
+	unreadMost = 1 << 20                // bytes of a connection that may wait for the owner: far past that
 	retryAfter = 5 * time.Millisecond   // until a peer that took no bytes is tried again
 	stallMost  = 15 * time.Second       // a peer that takes nothing for so long has lost its answers anyway
 	dialFor    = 500 * time.Millisecond // a peer on the same machine or next to it answers far sooner
@@ -35,6 +37,7 @@
 	ErrStall  = errors.New("the peer takes nothing")
 	ErrTooBig = errors.New("too much waits to be sent")
 	ErrDone   = errors.New("closed here")
+	ErrFlood  = errors.New("it sends more than is handled")
 )
 
 // Conn is one connection. Its methods and callbacks belong to the owner.
@@ -53,9 +56,10 @@
 	why     error     // why the owner closed it
 
 	mu     sync.Mutex // guards what follows, and fd against its closing
-	space  sync.Cond
 	in     Ring
+	unread int // bytes of it that may wait for the owner; more closes it
 	queued bool
+	flood  bool // closed as it sent too much
 	dead   bool // the descriptor may be closed: no more writes
 	told   bool // Closed was called
 }
@@ -66,6 +70,9 @@
 	Open atomic.Int64  // connections that hold a descriptor
 	Most int           // bytes that may wait for all peers that take none; more closes the worst
 
+	InMost int64 // bytes of all that may wait for the owner; with more who sends much is closed
+
+	in      atomic.Int64 // and how many do
 	mu      sync.Mutex
 	queue   []any // *Conn or func()
 	spare   []any
@@ -74,7 +81,9 @@
 }
 
 // NewInbox returns an empty inbox.
-func NewInbox() *Inbox { return &Inbox{Wake: make(chan struct{}, 1), Most: math.MaxInt} }
+func NewInbox() *Inbox {
+	return &Inbox{Wake: make(chan struct{}, 1), Most: math.MaxInt, InMost: math.MaxInt64}
+}
 
 // Post has f called on the owner.
 func (b *Inbox) Post(f func()) { b.push(f) }
@@ -111,6 +120,9 @@
 	for {
 		c.mu.Lock()
 		p := c.in.Peek()
+		if c.flood && c.why == nil {
+			c.why = ErrFlood
+		}
 		if len(p) == 0 {
 			c.queued = false
 			end := c.dead && !c.told && c.Closed != nil // not yet handed over: turned again then
@@ -132,7 +144,7 @@
 		}
 		c.mu.Lock()
 		c.in.Skip(len(p))
-		c.space.Signal()
+		c.box.in.Add(int64(-len(p)))
 		c.mu.Unlock()
 	}
 }
@@ -149,6 +161,21 @@
 	}
 }
 
+// Trust lets so many bytes of a connection wait for the owner.
+func (c *Conn) Trust(bytes int) {
+	c.mu.Lock()
+	c.unread = bytes
+	c.mu.Unlock()
+}
+
+// Rest lets go of the memory of an idle connection.
+func (c *Conn) Rest() {
+	c.out.Rest()
+	c.mu.Lock()
+	c.in.Rest()
+	c.mu.Unlock()
+}
+
 // Pending tells how many bytes wait to be sent.
 func (c *Conn) Pending() int { return c.out.Len() }
 
@@ -266,11 +293,19 @@
 	return len(p), nil
 }
 
+func init() {
+	// Netpoll's poller never waits while bytes keep coming; where one thread runs all it would read on for
+	// milliseconds before anybody else does. So it stands back when it has handed something over.
+	netpoll.SetRunner(func(_ context.Context, f func()) {
+		go f()
+		runtime.Gosched()
+	})
+}
+
 type ctxKey struct{}
 
 func (b *Inbox) adopt(nc netpoll.Connection) *Conn {
-	c := &Conn{box: b, nc: nc, Most: inMost}
-	c.space.L = &c.mu
+	c := &Conn{box: b, nc: nc, Most: outMost, unread: unreadMost}
 	if f, ok := nc.(netpoll.Conn); ok {
 		c.fd = f.Fd()
 	}
@@ -278,18 +313,20 @@
 	return c
 }
 
-// read copies what netpoll has read into the ring.
+// read copies what netpoll has read into the ring. It never waits for the owner: netpoll would go on reading and
+// keep it all. A peer that sends more than is handled is closed.
 func (c *Conn) read(_ context.Context, nc netpoll.Connection) error {
 	for n := nc.Reader().Len(); n > 0; n = nc.Reader().Len() {
-		if n > unreadMost {
-			return nc.Close()
-		}
 		c.mu.Lock()
-		for c.in.Len() >= inMost && !c.dead && nc.IsActive() {
-			c.space.Wait()
+		waits := c.in.Len() + n
+		if waits > c.unread || waits > kernelMost && c.box.in.Load()+int64(n) > c.box.InMost {
+			c.flood = true
+			c.mu.Unlock()
+			return nc.Close()
 		}
-		k, err := nc.Read(c.in.Space(min(n, inMost)))
+		k, err := nc.Read(c.in.Space(n))
 		c.in.Commit(k)
+		c.box.in.Add(int64(k))
 		push := !c.queued
 		c.queued = true
 		c.mu.Unlock()
@@ -310,7 +347,6 @@
 	c.dead = true
 	push := !c.queued
 	c.queued = true
-	c.space.Broadcast()
 	c.mu.Unlock()
 	if first {
 		c.box.Open.Add(-1)
@@ -357,6 +393,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// Those accepted inherit it: without a bound the system would take in megabytes at a time from who sends them.
+	_ = syscall.SetsockoptInt(nl.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, kernelMost)
 	l := &Listener{Listener: nl, box: b, most: int64(most), turned: turned}
 	loop, err := netpoll.NewEventLoop(
 		func(ctx context.Context, nc netpoll.Connection) error {
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -223,3 +223,28 @@
 		t.Error("told of", closed, "open", b.Open.Load())
 	}
 }
+
+// TestFlood: who sends more than is handled is closed, alone and where all together send too much; the sum is let go.
+func TestFlood(t *testing.T) {
+	for _, most := range []int64{1 << 40, 256 << 10} {
+		b := NewInbox()
+		b.InMost = most
+		var conns []*Conn
+		var ends []error
+		address, _ := serve(t, b, 100, &conns, &ends)
+		small, large := dial(t, address), dial(t, address)
+		_, _ = small.Write([]byte("hello"))
+		sent, err := 0, error(nil)
+		for err == nil && sent < 64<<20 { // the owner stands still
+			var n int
+			n, err = large.Write(make([]byte, 64<<10))
+			sent += n
+		}
+		if err == nil {
+			t.Error("all of it was taken in")
+		}
+		if !owner(b, func() bool { return len(ends) == 1 }) || !errors.Is(ends[0], ErrFlood) || b.in.Load() != 0 {
+			t.Error("ends:", ends, "counted", b.in.Load())
+		}
+	}
+}
--- a/internal/conn/ring.go
+++ b/internal/conn/ring.go
@@ -50,6 +50,13 @@
 	return r.buf[r.head:min(r.head+r.n, len(r.buf))]
 }
 
+// Rest lets go of the memory of an empty ring.
+func (r *Ring) Rest() {
+	if r.n == 0 {
+		r.buf, r.head = nil, 0
+	}
+}
+
 // Skip drops the first n bytes.
 func (r *Ring) Skip(n int) {
 	r.n -= n
--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"time"
 )
 
 // Record types and statuses of the protocol.
@@ -30,11 +31,12 @@
 )
 
 const (
-	contentMost = 65535   // bytes in a record
-	paramsMost  = 4 << 10 // bytes of parameters: those known have some hundred
-	valuesMost  = 1 << 10 // bytes of a question for values: the three known have 50
-	BodyMost    = 2 << 10 // bytes of a body, by the protocol of the deployment
-	OpenMost    = 32      // reqs open on a connection, by the same
+	contentMost = 65535    // bytes in a record
+	paramsMost  = 4 << 10  // bytes of parameters: those known have some hundred
+	valuesMost  = 1 << 10  // bytes of a question for values: the three known have 50
+	skipMost    = 64 << 10 // bytes of refused or unknown reqs that are read past: all that is open on a connection
+	BodyMost    = 2 << 10  // bytes of a body, by the protocol of the deployment
+	OpenMost    = 32       // reqs open on a connection, by the same
 )
 
 // Errors of a stream that can't be followed any further.
@@ -42,6 +44,7 @@
 	ErrVersion = errors.New("a record of another version")
 	ErrSlot    = errors.New("a request id out of range or in use")
 	ErrBegin   = errors.New("a begin record of the wrong length")
+	ErrSkip    = errors.New("it goes on sending what is refused")
 )
 
 // Kind tells what a Message is.
@@ -50,7 +53,7 @@
 // The messages.
 const (
 	Request Kind = iota + 1 // a whole req
-	Bad                     // a whole req that breaks a limit or lacks its parameters
+	Bad                     // a req that breaks a limit, at once, or a whole one that lacks its parameters
 	Abort                   // the edge node no longer waits; the slot is still open
 	Refuse                  // a req refused by the protocol: End with Status is due
 	Reply                   // bytes to send back as they are
@@ -67,12 +70,15 @@
 }
 
 type stream struct {
-	keep, named, bad, whole bool
-	params, body            []byte
+	keep, named, whole bool
+	since              time.Duration
+	params, body       []byte
 }
 
 // Parser follows one connection.
 type Parser struct {
+	Now time.Duration // when what is fed came: reqs are dated by it
+
 	head    [headerLen]byte
 	have    int
 	kind    byte
@@ -82,6 +88,7 @@
 	small   []byte // of a begin record or a question for values
 	open    map[uint16]*stream
 	held    int
+	skipped int // bytes since the last whole req that belonged to none
 }
 
 // Open is the number of reqs that are read or not yet answered.
@@ -98,6 +105,23 @@
 	}
 }
 
+// close takes no more of a req.
+func (p *Parser) close(s *stream) {
+	p.held -= len(s.params) + len(s.body)
+	s.whole, s.params, s.body = true, nil, nil
+}
+
+// Late gives the oldest req that was begun by then and is not whole; no slot is 0.
+func (p *Parser) Late(by time.Duration) (slot uint16, keep bool) {
+	first := by
+	for k, s := range p.open { // a minimum: among equals any will do
+		if !s.whole && s.since <= first {
+			slot, keep, first = k, s.keep, s.since
+		}
+	}
+	return slot, keep
+}
+
 // Feed takes the next bytes and hands each message to f.
 func (p *Parser) Feed(b []byte, f func(Message)) error {
 	for len(b) > 0 {
@@ -114,7 +138,9 @@
 			}
 		case p.content > 0:
 			k := min(p.content, len(b))
-			p.take(b[:k])
+			if err := p.take(b[:k], f); err != nil {
+				return err
+			}
 			p.content -= k
 			b = b[k:]
 			if p.content == 0 {
@@ -161,26 +187,30 @@
 	return nil
 }
 
-// take adds content to what it belongs to.
-func (p *Parser) take(b []byte) {
+// take adds content to what it belongs to. What breaks a limit is refused at once.
+func (p *Parser) take(b []byte, f func(Message)) error {
 	s := p.open[p.slot]
 	switch {
 	case p.kind == beginRequest, p.kind == getValues:
 		if len(p.small)+len(b) <= valuesMost {
 			p.small = append(p.small, b...)
 		}
-	case s == nil || s.whole:
-	case p.kind == params:
-		if s.bad = s.bad || s.named || len(s.params)+len(b) > paramsMost; !s.bad {
-			s.params = append(s.params, b...)
-			p.held += len(b)
+	case s != nil && !s.whole && p.kind == params && !s.named && len(s.params)+len(b) <= paramsMost:
+		s.params = append(s.params, b...)
+		p.held += len(b)
+	case s != nil && !s.whole && p.kind == stdin && len(s.body)+len(b) <= BodyMost:
+		s.body = append(s.body, b...)
+		p.held += len(b)
+	default:
+		if s != nil && !s.whole && (p.kind == params || p.kind == stdin) {
+			p.close(s)
+			f(Message{Kind: Bad, Slot: p.slot, Keep: s.keep})
 		}
-	case p.kind == stdin:
-		if s.bad = s.bad || len(s.body)+len(b) > BodyMost; !s.bad {
-			s.body = append(s.body, b...)
-			p.held += len(b)
+		if p.skipped += len(b); p.skipped > skipMost {
+			return ErrSkip
 		}
 	}
+	return nil
 }
 
 // end follows the content of a record.
@@ -198,7 +228,7 @@
 			if p.open == nil {
 				p.open = map[uint16]*stream{}
 			}
-			p.open[p.slot] = &stream{keep: keep}
+			p.open[p.slot] = &stream{keep: keep, since: p.Now}
 		}
 	case params:
 		if length == 0 && s != nil {
@@ -208,13 +238,12 @@
 		if length > 0 || s == nil || s.whole {
 			break
 		}
-		s.whole = true
 		m := Message{Kind: Request, Slot: p.slot, Keep: s.keep, Params: s.params, Body: s.body}
-		if s.bad || !s.named {
+		if !s.named {
 			m = Message{Kind: Bad, Slot: p.slot, Keep: s.keep}
 		}
-		p.held -= len(s.params) + len(s.body)
-		s.params, s.body = nil, nil
+		p.skipped = 0
+		p.close(s)
 		f(m)
 	case abortRequest:
 		if s != nil {
