A connection's first req is taken once the processor knows it; strangers never reach the module

Well formed reqs whose id the processor does not know were held, booked with up to 2,000 KB each, counted as arrivals, hints and time unread, and begun, before `reject begin` ended them (log lines `processor rejects`, some a second on each backend).

Now the first req of a connection is asked for by an interrupt, which finds no run but is rejected where no such req came to the machine, and a question for the gauges behind it; what is not rejected by its answer is known, and so is the connection. Without a link, or if it breaks meanwhile, reqs pass as before. Ruled out by reading the protocol: `begin` as the question, it would run before the module decides.

Covers any client that makes up reqs, alone or by hundreds. Harm: one answer of the processor later for the first req of a connection; a connection once known is trusted until a begin is rejected.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -177,6 +178,7 @@
 		t := b.clock()
 		b.next = b.now + time.Second
 		b.box.Turn()
+		b.link.askStrange()
 		b.lookAtTime()
 		b.decide()
 		b.lease.report(b)
@@ -273,6 +275,7 @@
 		if b.owes(r) {
 			owed++
 			invariant.Check(r.edge.open[r.slot] == r, "an owed req holds its slot")
+			invariant.Check(r.at != strange || slices.Contains(b.link.strange, r), "a strange req is asked for")
 		} else {
 			invariant.Check(r.at >= running, "what is kept without being owed runs")
 		}
--- a/backend/front.go
+++ b/backend/front.go
@@ -54,6 +54,7 @@
 	used   time.Duration // when it last carried a whole req or an answer
 	bad    int           // bad reqs since the last one that was run
 	sent   bool          // it has sent a whole req
+	known  bool          // one of its reqs was known to the processor
 	rested bool          // it keeps no memory
 	cut    bool          // closed here; its end is still to be told
 }
@@ -229,16 +230,25 @@
 		f.answer(e, m.Slot, m.Keep, "503 Service Unavailable", nil, nil)
 		return
 	}
-	ev.ID, ev.Handler = r.id, r.h
-	if r.of = (subject{r.h, ev.Subject}); ev.Subject != "" {
-		r.fore = b.keys.repeatOf(r.of)
-		ev.RepeatOf = r.fore
-	}
-	ev.Unread = unread
+	ev.ID, ev.Handler, ev.Unread = r.id, r.h, unread
+	r.of, r.ev, r.since = subject{r.h, ev.Subject}, ev, b.now
 	b.reqs[r.id] = r
 	b.owed++
 	e.open[m.Slot] = r
-	b.events = append(b.events, ev)
+	if e.known || !b.link.identify(r) {
+		b.arrived(r)
+	}
+}
+
+// unknown follows the processor's word that it knows no such req: nobody sent it one, and whoever sends reqs that
+// nobody knows is no edge node.
+func (f *front) unknown(r *req) {
+	b, e := f.b, r.edge
+	b.owed--
+	delete(b.reqs, r.id)
+	delete(e.open, r.slot)
+	r.edge = nil
+	f.bad(e, r.slot, false, "400 Bad Request", "no req of this machine")
 }
 
 // check answers a health check: a shallow one and one the module calls cheap from what the module said last.
--- a/backend/link.go
+++ b/backend/link.go
@@ -40,6 +40,7 @@
 	probes  int           // reqs whose begin is being probed
 	resync  uint64        // this one's answer ends the resumption; 0 it has ended
 	trials  []uint64      // asked and not told
+	strange []*req        // the processor is asked whether it knows them, in order
 	dialing bool
 	dialAt  time.Duration
 	wait    time.Duration
@@ -117,6 +118,7 @@
 func (l *link) replace() {
 	old, c := l.c, l.next
 	l.next, l.quiet, l.moved = nil, 0, false
+	l.admit(math.MaxUint64)
 	l.open(c)
 	if old != nil {
 		old.Close(conn.ErrDone)
@@ -140,6 +142,7 @@
 		b.count.LinksLost++
 		b.note("link lost", "why", err)
 		l.c, l.up, l.moved, l.dialAt = nil, false, false, b.now+l.wait
+		l.admit(math.MaxUint64) // nobody can tell now
 		l.wait = min(2*l.wait, redialMax)
 		if l.next != nil {
 			l.replace()
@@ -171,6 +174,39 @@
 	return l.tag
 }
 
+// identify asks whether the processor knows a req, and tells whether there is anybody to ask. An interrupt finds no
+// run and does nothing, but is rejected where no such req came to this machine. Guards what the module measures
+// and the places it gives against clients that are no edge nodes. Harm: a connection's first req waits for one answer.
+func (l *link) identify(r *req) bool {
+	if !l.ready() {
+		return false
+	}
+	l.b.scratch = processor.AppendInterrupt(l.b.scratch[:0], r.name)
+	l.write(l.b.scratch)
+	r.unknown = l.tag + 1 // asked for once a turn, by askStrange
+	l.strange = append(l.strange, r)
+	return true
+}
+
+// askStrange asks the question that ends the wait of this turn's strange reqs.
+func (l *link) askStrange() {
+	if n := len(l.strange); n > 0 && l.strange[n-1].unknown > l.tag {
+		l.usage()
+	}
+}
+
+// admit takes the strange reqs that were asked for by then as known, or all if nobody can tell any more.
+func (l *link) admit(tag uint64) {
+	for len(l.strange) > 0 && l.strange[0].unknown <= tag {
+		r := l.strange[0]
+		l.strange = l.strange[1:]
+		if r.at == strange && l.b.reqs[r.id] == r {
+			r.edge.known = r.edge.known || tag < math.MaxUint64
+			l.b.arrived(r)
+		}
+	}
+}
+
 func (l *link) begin(r *req) {
 	if !l.ready() {
 		return // resume sends it
@@ -236,8 +272,15 @@
 	case processor.Reject:
 		b.count.Rejects++
 		b.note("processor rejects", "command", n.Text)
-		if r := b.reqs[n.ID]; r != nil && n.Text == "begin" && r.at == running && r.sent && !r.seen {
-			b.ended(r, overload.Moot, 0, nil) // the processor knows no such req: nothing was run
+		switch r := b.reqs[n.ID]; { // the processor knows no such req: nothing was run
+		case r == nil:
+		case n.Text == "interrupt" && r.at == strange:
+			b.front.unknown(r)
+		case n.Text == "begin" && r.at == running && r.sent && !r.seen:
+			if b.owes(r) {
+				r.edge.known = false
+			}
+			b.ended(r, overload.Moot, 0, nil)
 		}
 	case processor.Remark:
 		b.count.Remarks++
@@ -277,6 +320,7 @@
 	b := l.b
 	before := l.acked
 	l.acked = max(l.acked, n.Tag)
+	l.admit(n.Tag)
 	b.gauges = append(b.gauges[:0], n.Gauges...)
 	if b.gaugesBy > 0 {
 		b.timerEvent()
--- a/backend/req.go
+++ b/backend/req.go
@@ -12,11 +12,12 @@
 type place uint8
 
 const (
-	held    place = iota
-	joined        // waits for the result of another
-	running       // begun, or to be begun once the link stands
-	asking        // its run waits for a call that is not made
-	calling       // and for one that is
+	strange place = iota // the processor is asked whether it knows it; the module has not heard of it
+	held
+	joined  // waits for the result of another
+	running // begun, or to be begun once the link stands
+	asking  // its run waits for a call that is not made
+	calling // and for one that is
 )
 
 // req is one req from reading to the end of its run.
@@ -41,6 +42,10 @@
 	replied    bool
 	call       *call
 
+	ev      overload.Event // strange: its arrival
+	since   time.Duration  // and when that was
+	unknown uint64         // the question for gauges whose answer proves that it is known if it is not rejected
+
 	of    subject
 	fore  uint64 // the remembered req that it repeats
 	joins []*req // those that wait for its result
@@ -117,6 +122,17 @@
 	}
 }
 
+// arrived hands a req to the module.
+func (b *Backend) arrived(r *req) {
+	r.at = held
+	r.ev.Unread += b.now - r.since
+	if r.ev.Subject != "" {
+		r.fore = b.keys.repeatOf(r.of)
+		r.ev.RepeatOf = r.fore
+	}
+	b.events = append(b.events, r.ev)
+}
+
 // answered follows the final answer of a req.
 func (b *Backend) answered(r *req) {
 	b.owed--
@@ -129,6 +145,10 @@
 	b.owed--
 	b.count.Gone++
 	r.edge = nil
+	if r.at == strange {
+		delete(b.reqs, r.id)
+		return
+	}
 	b.events = append(b.events, overload.Event{Kind: overload.Gone, ID: r.id})
 	b.unowed(r)
 }
--- a/backend/signal_test.go
+++ b/backend/signal_test.go
@@ -11,7 +11,7 @@
 
 // TestSignals: a configuration is read anew at SIGHUP, one that can't be used changes nothing, SIGTERM ends well.
 func TestSignals(t *testing.T) {
-	s := &stage{t: t, edges: map[string]*edgeNode{}, options: map[string]string{"stop_ms": "500"}}
+	s := &stage{t: t, edges: map[string]*edgeNode{}, known: map[string]bool{}, options: map[string]string{"stop_ms": "500"}}
 	s.newPeers("")
 	s.listen = "127.0.0.1:0"
 	path := filepath.Join(t.TempDir(), "config.json")
--- a/backend/stand_test.go
+++ b/backend/stand_test.go
@@ -37,7 +37,8 @@
 	control   net.PacketConn
 	listen    string
 	options   map[string]string
-	n         int // notices sent
+	n         int             // notices sent
+	known     map[string]bool // ids that were begun; false: the processor knows no such req
 }
 
 func (s *stage) print(party, format string, args ...any) {
@@ -47,6 +48,17 @@
 	s.last = time.Now()
 }
 
+// know tells whether an id was begun, and whether it is to be rejected.
+func (s *stage) know(id string, begins bool) (begun, strange bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if begins {
+		s.known[id] = true
+	}
+	begun, said := s.known[id]
+	return begun, said && !begun
+}
+
 // settle waits until so many lines are there and nothing happens any more, and gives them by party.
 func (s *stage) settle(expected int) []string {
 	start, calm := time.Now(), quiet
@@ -143,6 +155,16 @@
 			}
 			words[len(words)-1] = quoted(string(body[:n]))
 		}
+		if words[0] == "begin" {
+			p.s.know(words[1], true)
+		} else if words[0] == "interrupt" {
+			if begun, strange := p.s.know(words[1], false); strange {
+				fmt.Fprintf(c, "reject interrupt %s\r\n", words[1])
+				continue
+			} else if !begun {
+				continue // whether the req is known: said by silence
+			}
+		}
 		if words[0] == "invoke" {
 			words = slices.Delete(words, 2, 3) // the time-out
 		}
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -18,7 +18,7 @@
 // stand-ins print then.
 func TestTraces(t *testing.T) {
 	golden.Files(t, 4, func(t *testing.T, text string) string {
-		s := &stage{t: t, edges: map[string]*edgeNode{}}
+		s := &stage{t: t, edges: map[string]*edgeNode{}, known: map[string]bool{}}
 		return golden.Steps(text, func(line string, expected int) []string {
 			s.step(strings.Fields(line))
 			return s.settle(expected)
@@ -106,6 +106,10 @@
 		case "replies":
 			body := unescape(w[3:])
 			p.write(fmt.Sprintf("%s ok %d\r\n%s\r\n", w[2], len(body), body))
+		case "misses": // it knows no such req
+			s.mu.Lock()
+			s.known[w[2]] = false
+			s.mu.Unlock()
 		case "mute":
 			p.mu.Lock()
 			p.mute = w[2] == "on"
