Connections the next tier forgets are let go sooner; unsent calls go elsewhere

Now the first call that breaks at once after an idle while teaches for how long connections there can be trusted: a quarter of that. No constant of it is told; it starts at 1 s and again at each new address.

Descriptors for calls are kept out of those for edge nodes. Strangers are not asked for where runs can't be interrupted, as all interrupts are rejected there; a pending new link that ends is not dialled anew at once; netpoll is set up by Main, for the process.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -43,6 +43,7 @@
 
 	ctl      *overload.Controller // nil until the processor is up
 	handlers []handler
+	canStop  bool            // runs may be interrupted here
 	reqs     map[uint64]*req // held, running, or running on without being owed
 	owed     int             // reqs without their answer
 	events   []overload.Event
@@ -92,6 +93,8 @@
 	b := &Backend{cfg: cfg, log: log, start: time.Now().Add(-startSpan), box: conn.NewInbox(),
 		reqs: map[uint64]*req{}, notes: map[string]*seldom.Line{}, good: true,
 		requested: make(chan chan Counters), stopped: make(chan struct{})}
+	part, _ := cfg.Settings["backend"].(map[string]any)
+	b.canStop = part["halt"] != nil && part["halt"] != "off"
 	list, _ := cfg.Settings["handlers"].([]any)
 	for _, v := range list {
 		m, _ := v.(map[string]any)
@@ -151,7 +154,7 @@
 		b.box.Most = int(b.share(outShare))
 		b.box.InMost = int64(b.share(inShare))
 	}
-	ln, err := b.box.Listen(b.cfg.Listen, b.cfg.Limits.Sockets-spare, b.front.accept, func() { b.turned.Add(1) })
+	ln, err := b.box.Listen(b.cfg.Listen, b.front.room(), b.front.accept, func() { b.turned.Add(1) })
 	if err != nil {
 		return err
 	}
--- a/backend/front.go
+++ b/backend/front.go
@@ -71,6 +71,9 @@
 
 func (f *front) init(b *Backend) { f.b, f.edges = b, map[*edge]struct{}{} }
 
+// room is how many connections there may be in all when one more is accepted: calls always find theirs.
+func (f *front) room() int { return f.b.cfg.Limits.Sockets - spare - f.b.tier.room() }
+
 func (f *front) accept(c *conn.Conn) {
 	b := f.b
 	e := &edge{c: c, open: map[uint16]*req{}, since: b.now, used: b.now}
@@ -344,7 +347,7 @@
 // answers deep checks that got no word.
 func (f *front) tidy() {
 	b := f.b
-	most := int(crowdedAt * float64(b.cfg.Limits.Sockets-spare))
+	most := int(crowdedAt * float64(f.room()))
 	keepFor := min(idleMost, cmp.Or(b.keep, idleMost))
 	var idle []*edge
 	for e := range f.edges {
--- a/backend/link.go
+++ b/backend/link.go
@@ -16,7 +16,7 @@
 	redial    = 2 * time.Millisecond   // before the first further try to reach the processor
 	redialMax = 500 * time.Millisecond // between later ones: it may come up long after this backend
 	quietMost = 50 * time.Millisecond  // for the last answer on a link that is to be replaced
-	probeWait = 250 * time.Millisecond // for the word of an interrupted run, before there was none: far past a tick
+	probeWait = 100 * time.Millisecond // for a word of a run that may not be, and then of its interrupt: twenty ticks
 	linkShare = 0.25                   // of the memory limit, for commands that wait, and as much for notices
 )
 
@@ -90,7 +90,10 @@
 		l.wait = min(2*l.wait, redialMax)
 	case l.up && l.resync == 0: // the old link works: nothing is left in doubt by the change
 		l.next = c
-		c.Closed = func(error) { l.next, l.quiet = nil, 0 }
+		c.Closed = func(error) {
+			l.next, l.quiet, l.dialAt = nil, 0, b.now+l.wait
+			l.wait = min(2*l.wait, redialMax)
+		}
 		l.usage()
 		l.quiet, l.quietBy = l.tag, b.now+quietMost
 		b.at(l.quietBy)
@@ -178,8 +181,8 @@
 // run and does nothing, but is rejected where no such req came to this machine. Guards what the module measures
 // and the places it gives against clients that are no edge nodes. Harm: a connection's first req waits for one answer.
 func (l *link) identify(r *req) bool {
-	if !l.ready() {
-		return false
+	if !l.ready() || !l.b.canStop {
+		return false // nobody to ask, or all interrupts are rejected
 	}
 	l.b.scratch = processor.AppendInterrupt(l.b.scratch[:0], r.name)
 	l.write(l.b.scratch)
@@ -337,6 +340,12 @@
 		for _, r := range b.known() {
 			switch {
 			case r.probeAt == 0 || b.now < r.probeAt:
+			case r.seen: // it runs, or its end follows
+				l.probes--
+				r.probe, r.probeAt = 0, 0
+			case !r.stop:
+				l.interrupt(r)
+				r.probeAt = b.now + probeWait
 			case r.probe == 0:
 				r.probe = l.tag + 1 // the next question
 			case n.Tag >= r.probe:
@@ -363,9 +372,9 @@
 }
 
 // resume repeats what the break may have swallowed. All kept notices are read by now. A begin that is not
-// proved to have arrived is repeated at once where the req may run again; elsewhere the run is first stopped,
-// and is taken for never begun if nothing is heard of it for a while; a begin would else meet a run that is
-// just being stopped.
+// proved to have arrived is repeated at once where the req may run again. Elsewhere a word of the run is waited for;
+// without one it is stopped, and taken for never begun if still nothing is heard of it for a while; a begin would
+// else meet a run that is just ending.
 func (l *link) resume(acked uint64) {
 	b := l.b
 	for _, r := range b.known() {
@@ -380,7 +389,9 @@
 			b.count.Repeated++
 			l.begin(r)
 		case doubt && !r.seen:
-			l.interrupt(r)
+			if r.stop {
+				l.interrupt(r)
+			}
 			if r.probeAt == 0 { // else the link broke again meanwhile
 				l.probes++
 			}
--- a/backend/main.go
+++ b/backend/main.go
@@ -24,7 +24,7 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	conn.SetLog(log)
+	conn.Prepare(log)
 	b := New(cfg, log)
 	done := make(chan struct{})
 	defer close(done)
--- a/backend/stand_test.go
+++ b/backend/stand_test.go
@@ -94,6 +94,7 @@
 	of   map[string]net.Conn // that named an id last
 	all  []net.Conn
 	mute bool // the processor does not answer for the gauges
+	once bool // the next tier resets a connection at its second call, unread
 }
 
 func newPeer(s *stage, name string) *peer {
@@ -128,11 +129,19 @@
 
 func (p *peer) read(c net.Conn) {
 	r := bufio.NewReader(c)
-	for {
+	for n := 0; ; n++ {
 		line, err := r.ReadString('\n')
 		if err != nil {
 			return
 		}
+		if p.mu.Lock(); p.once && n > 0 {
+			_ = c.Close()
+		}
+		forgot := p.once && n > 0
+		p.mu.Unlock()
+		if forgot {
+			return
+		}
 		words := strings.Fields(line)
 		if words[0] == "usage" {
 			p.mu.Lock()
@@ -307,7 +316,7 @@
 "stop_ms":%s,"limits":{"cores":1.0,"memory_mb":%s,"sockets":%s},"settings":{"servers":2,"tickUs":1000,
 "classes":[{"name":"status","credit":1,"giveUpUs":1500000,"goalTimeUs":900000,"idempotency":"retryable"},
 {"name":"file-claim","credit":3,"giveUpUs":1500000,"goalTimeUs":900000,"idempotency":"fragile"}],
-"familyInfo":{"cores":2,"downstream":"tier","halt":"discard","keyKb":10,"memoryKb":100000,"runFactor":8,"senders":2,
+"familyInfo":{"cores":2,"downstream":"tier","halt":"%s","keyKb":10,"memoryKb":100000,"runFactor":8,"senders":2,
 "shareForUs":800000,"ownStats":["cpu_busy","runnable","mem_used","sockets"],"signal":"allowance","tellsGone":true},
 "invariants":{"answerSlackUs":80000,"drainGraceUs":300000,"fallMultiple":8},
 "limits":{"maxRetryAfterUs":1000000,"retryAfter":true}}}`
@@ -350,7 +359,7 @@
 		tier = ""
 	}
 	return fmt.Appendf(nil, testConfig, s.listen, s.processor.ln.Addr(), s.control.LocalAddr(), tier,
-		option("stop_ms", "3000"), option("memory_mb", "192"), option("sockets", "200"))
+		option("stop_ms", "3000"), option("memory_mb", "192"), option("sockets", "200"), option("halt", "discard"))
 }
 
 func (s *stage) config() Config {
--- a/backend/tier.go
+++ b/backend/tier.go
@@ -12,7 +12,9 @@
 
 const (
 	callGrace  = 20 * time.Millisecond   // past a call's time-out: the far side should say so first
-	wireIdle   = 2 * time.Second         // the far side closes idle ones at 10 s, some far sooner: it goes first
+	wireIdle   = time.Second             // the far side closes idle ones at 10 s, some far sooner: it goes first
+	idleCut    = 0.25                    // of the idle time after which the far side had forgotten a connection
+	atOnce     = 2 * time.Millisecond    // a connection that breaks so soon was dead before: no call takes so little
 	wireShare  = 0.125                   // of the descriptors, for connections to the next tier
 	wireMost   = 256 << 10               // bytes of calls that may wait on a connection
 	linkFinish = 1400 * time.Millisecond // for what is in hand on connections to addresses that are no more: they
@@ -25,6 +27,7 @@
 type tier struct {
 	b       *Backend
 	address string
+	safe    time.Duration // idle for so long a connection is still used: less once the far side forgot one sooner
 	wires   map[*wire]struct{}
 	idle    []*wire // free ones, the last used at the end
 	queue   []*call // wait for a connection, in order
@@ -48,12 +51,18 @@
 	w     *wire // nil while it waits for one
 	began time.Duration
 	till  time.Duration
+	sent  time.Duration // when it was written
+	idle  time.Duration // of the connection before
+	mark  int           // bytes written there before
 }
 
 func (t *tier) init(b *Backend) {
-	t.b, t.address, t.wires, t.calls = b, b.cfg.NextTier, map[*wire]struct{}{}, map[uint64]*call{}
+	t.b, t.address, t.safe, t.wires, t.calls = b, b.cfg.NextTier, wireIdle, map[*wire]struct{}{}, map[uint64]*call{}
 }
 
+// room is how many connections it may hold.
+func (t *tier) room() int { return max(1, int(wireShare*float64(t.b.cfg.Limits.Sockets))) }
+
 func (t *tier) invoke(r *req, after time.Duration) {
 	b := t.b
 	b.count.Calls++
@@ -73,13 +82,13 @@
 	b := t.b
 	for i := len(t.idle) - 1; i >= 0; i-- {
 		w := t.idle[i]
-		if w.last != k.r.id && b.now-w.used < wireIdle {
+		if w.last != k.r.id && b.now-w.used < t.safe {
 			t.idle = slices.Delete(t.idle, i, i+1)
 			t.send(w, k)
 			return
 		}
 	}
-	if float64(len(t.wires)+t.dialing) < max(1, wireShare*float64(b.cfg.Limits.Sockets)) {
+	if len(t.wires)+t.dialing < t.room() {
 		t.queue = append(t.queue, k)
 		t.dial()
 		return
@@ -163,6 +172,7 @@
 
 func (t *tier) send(w *wire, k *call) {
 	b := t.b
+	k.sent, k.idle, k.mark = b.now, b.now-w.used, w.c.Mark()
 	k.w, w.last, w.used = w, k.r.id, b.now
 	w.calls[k.r.id] = k
 	b.scratch = nexttier.AppendInvoke(b.scratch[:0], k.r.name, k.till-b.now, k.r.ask)
@@ -184,11 +194,23 @@
 	}
 }
 
-// closed follows the end of a connection: nothing is proved of the calls on it.
+// closed follows the end of a connection. A call of which no byte had left never ran and goes elsewhere; of the
+// others nothing is proved. One that broke at once after a while of idleness had been forgotten by the far side: such
+// connections are let go sooner from then on, as a new one costs less than a call. Harm: more dials.
 func (t *tier) closed(w *wire) {
 	t.forget(w)
 	for _, id := range slices.Sorted(maps.Keys(w.calls)) {
-		t.end(w.calls[id], overload.BrokenOff)
+		k := w.calls[id]
+		if w.c.Sent() <= k.mark {
+			delete(w.calls, id)
+			k.w = nil
+			t.place(k)
+			continue
+		}
+		if k.mark > 0 && t.b.now-k.sent <= atOnce {
+			t.safe = min(t.safe, time.Duration(idleCut*float64(k.idle)))
+		}
+		t.end(k, overload.BrokenOff)
 	}
 	t.dialMore()
 }
@@ -252,7 +274,7 @@
 	if address == t.address {
 		return
 	}
-	t.address = address
+	t.address, t.safe = address, wireIdle
 	for address == "" && len(t.queue) > 0 {
 		if k := t.first(); k != nil {
 			t.end(k, overload.NoConnection)
@@ -283,11 +305,11 @@
 		t.cancel(k.r)
 		t.end(k, overload.TimedOut)
 	}
-	for len(t.idle) > 0 && b.now-t.idle[0].used >= wireIdle {
+	for len(t.idle) > 0 && b.now-t.idle[0].used >= t.safe {
 		t.close(t.idle[0])
 	}
 	if len(t.idle) > 0 {
-		b.at(t.idle[0].used + wireIdle)
+		b.at(t.idle[0].used + t.safe)
 	}
 	for w := range t.wires { // each alike
 		if w.finish > 0 && b.now >= w.finish {
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -110,6 +110,10 @@
 			s.mu.Lock()
 			s.known[w[2]] = false
 			s.mu.Unlock()
+		case "forgets":
+			p.mu.Lock()
+			p.once = true
+			p.mu.Unlock()
 		case "mute":
 			p.mu.Lock()
 			p.mute = w[2] == "on"
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -50,6 +50,7 @@
 	nc      netpoll.Connection
 	fd      int
 	out     Ring
+	sent    int
 	dirty   bool
 	last    bool      // to be closed once all is sent
 	stalled time.Time // since when the peer took nothing, zero if it does
@@ -176,6 +177,10 @@
 	c.mu.Unlock()
 }
 
+// Sent is how many bytes have left here, Mark how many will have before what is written next.
+func (c *Conn) Sent() int { return c.sent }
+func (c *Conn) Mark() int { return c.sent + c.out.Len() }
+
 // Pending tells how many bytes wait to be sent.
 func (c *Conn) Pending() int { return c.out.Len() }
 
@@ -245,6 +250,7 @@
 		switch {
 		case n > 0:
 			c.out.Skip(n)
+			c.sent += n
 			c.stalled = time.Time{}
 		case errors.Is(err, syscall.EINTR):
 		case errors.Is(err, syscall.EAGAIN):
@@ -273,9 +279,16 @@
 
 // ---- netpoll's side ----
 
-// SetLog has netpoll's own lines, as of descriptors that ran out, logged at most once a second. It is for the
-// whole process and to be called before any connection is made.
-func SetLog(log *slog.Logger) { netpoll.SetLoggerOutput(&logWriter{log: log}) }
+// Prepare sets netpoll up, for the whole process and before any connection is made. Its own lines, as of descriptors
+// that ran out, are logged at most once a second. Its poller never waits while bytes keep coming: where one thread
+// runs all it would read on for milliseconds before anybody else does, so it stands back when it hands something over.
+func Prepare(log *slog.Logger) {
+	netpoll.SetLoggerOutput(&logWriter{log: log})
+	netpoll.SetRunner(func(_ context.Context, f func()) {
+		go f()
+		runtime.Gosched()
+	})
+}
 
 type logWriter struct {
 	log *slog.Logger
@@ -293,15 +306,6 @@
 	return len(p), nil
 }
 
-func init() {
-	// Netpoll's poller never waits while bytes keep coming; where one thread runs all it would read on for
-	// milliseconds before anybody else does. So it stands back when it has handed something over.
-	netpoll.SetRunner(func(_ context.Context, f func()) {
-		go f()
-		runtime.Gosched()
-	})
-}
-
 type ctxKey struct{}
 
 func (b *Inbox) adopt(nc netpoll.Connection) *Conn {
--- a/internal/fastcgi/fastcgi_test.go
+++ b/internal/fastcgi/fastcgi_test.go
@@ -1,6 +1,8 @@
 package fastcgi
 
 import (
+	"errors"
+	"strings"
 	"testing"
 
 	"frosthub/internal/golden"
@@ -38,3 +40,28 @@
 		t.Error("a long answer takes two records, not", got)
 	}
 }
+
+// TestRefused: a body past its limit is refused at once, and who goes on sending it is told of.
+func TestRefused(t *testing.T) {
+	var p Parser
+	bad := 0
+	feed := func(b string) error {
+		return p.Feed([]byte(b), func(m Message) {
+			if m.Kind == Bad {
+				bad++
+				p.Done(m.Slot)
+			}
+		})
+	}
+	err := feed("\x01\x01\x00\x01\x00\x08\x00\x00\x00\x01\x01\x00\x00\x00\x00\x00\x01\x04\x00\x01\x00\x00\x00\x00")
+	piece := "\x01\x05\x00\x01\x04\x00\x00\x00" + strings.Repeat("x", 1<<10)
+	sent := 0
+	for ; err == nil && sent < 1000; sent++ {
+		if err = feed(piece); sent == 2 && (bad != 1 || p.Held() != 0 || p.Open() != 0) {
+			t.Error("not refused at once")
+		}
+	}
+	if !errors.Is(err, ErrSkip) || bad != 1 || sent > 80 {
+		t.Error(err, "after", sent, "records,", bad, "refused")
+	}
+}
