--- a/overload/overload.go
+++ b/overload/overload.go
@@ -57,6 +57,7 @@
 	callDown      = 0.9                    // factor a tick on calls in hand then: halved in less than a second
 	callLeast     = 200 * time.Millisecond // least time-out worth a call to a shared dependency
 	stuckAfter    = 2 * time.Second        // no progress of running work for this long: it hangs
+	stayShare     = 0.8                    // of the grace after the notice in which newcomers are still wanted
 	stopAgain     = 500 * time.Millisecond // a stop without effect is asked for again
 	minRetryAfter = 100 * time.Millisecond // less is no advice
 	patiencePace  = 0.1                    // weight of one given-up try in a caller's patience: ten settle it
@@ -287,6 +288,7 @@
 		c.progress = max(c.progress, now-tick)
 	}
 	c.stuck = now-c.progress > stuckAfter
+	c.leaving = c.left > 0 && now-c.left >= seconds(stayShare*c.grace.Seconds())
 }
 
 func (c *Controller) duress() bool { return c.hot >= breaches }
@@ -441,11 +443,10 @@
 	}
 	h := c.handlers[e.Handler]
 	r := &req{id: e.ID, h: h, arrived: now - e.Unread, size: e.Size, scale: 1}
-	r.due = r.arrived + h.timeout
+	r.due = max(now, r.arrived+h.timeout)
 	if e.Left > 0 {
 		r.due = now + e.Left
 	}
-	r.due = max(r.due, now)
 	r.target = min(r.arrived+h.target, r.due)
 	if e.Left == 0 && c.patience > 0 && h.replayable() {
 		r.target = min(r.target, r.arrived+time.Duration(c.patience*float64(h.timeout)))
@@ -488,7 +489,7 @@
 	switch {
 	case c.dueNow(now, r):
 		c.giveUp(r)
-	case c.leaving && r.arrived > c.left+c.grace, c.stuck, c.mem+key > memHold*c.memory:
+	case c.left > 0 && r.arrived > c.left+c.grace, c.stuck, c.mem+key > memHold*c.memory:
 		c.refuse(r, c.maxRetry)
 	case h.base == 0 && float64(c.n[held]) > startHold*c.cores,
 		end > finish && (c.n[held] > 1 || c.n[running] > 0):
@@ -596,8 +597,7 @@
 }
 
 func (u *customer) take(now time.Duration) bool {
-	u.tokens = math.Min(u.rate*shareBurst, u.tokens+u.rate*(now-u.filled).Seconds())
-	u.filled = now
+	u.tokens, u.filled = math.Min(u.rate*shareBurst, u.tokens+u.rate*(now-u.filled).Seconds()), now
 	if u.tokens < 1 && u.rate > 0 {
 		return false
 	}
@@ -844,7 +844,7 @@
 // ---- leaving ----
 
 func (c *Controller) leave(now, left time.Duration) {
-	c.leaving, c.left, c.stop = true, now, now+left-look-2*c.batch
+	c.left, c.stop = now, now+left-look-2*c.batch
 	for _, r := range c.all {
 		r.due = min(r.due, c.stop)
 		c.watch(now, r)
