Calls given up by the tier above and lost connections teach no patience

Seen on garble+fleet: 54 calls of one backend were turned away by the tier below, whose cores were 0.15 busy with nothing held. The probe of its state: patience 0.04 to 0.15 of the client timeout, learnt from calls that the tier above gave up with the reqs they were for, so that a call had a few tens of milliseconds and was shed by arrive's `end > finish`. Lines at fault: goneAway, which takes each Gone for a caller's patience; the backend, which reports an ended connection as the same. Ruled out: load, the allowance (13 to 19), the calls' bound.

Now patience is learnt in the first tier alone, and not from connections that ended (Gone with BrokenOff). Harm: a tier below whose callers do retry at a fixed time would not learn it.

Also: tests that nothing is kept of ids, callers, subjects and connections that are always new (TestKept, growth trace).

--- a/backend/front.go
+++ b/backend/front.go
@@ -103,7 +103,7 @@
 		f.parts -= e.p.Held()
 		b.count.ConnsClosed++
 		for _, slot := range slices.Sorted(maps.Keys(e.open)) { // the same bytes lead to the same decisions
-			b.gone(e.open[slot])
+			b.gone(e.open[slot], overload.BrokenOff)
 		}
 	}
 }
@@ -147,7 +147,7 @@
 	case fastcgi.Abort:
 		if r := e.open[m.Slot]; r != nil {
 			delete(e.open, m.Slot)
-			b.gone(r)
+			b.gone(r, 0)
 		}
 		delete(e.checks, m.Slot)
 		f.end(e, m.Slot, m.Keep, fastcgi.Complete)
--- a/backend/req.go
+++ b/backend/req.go
@@ -140,8 +140,8 @@
 	b.unowed(r)
 }
 
-// gone follows the edge node's word that it no longer waits.
-func (b *Backend) gone(r *req) {
+// gone follows the edge node's word that it no longer waits, or (BrokenOff) the end of its connection.
+func (b *Backend) gone(r *req, how overload.Outcome) {
 	b.owed--
 	b.count.Gone++
 	r.edge = nil
@@ -149,7 +149,7 @@
 		delete(b.reqs, r.id)
 		return
 	}
-	b.events = append(b.events, overload.Event{Kind: overload.Gone, ID: r.id})
+	b.events = append(b.events, overload.Event{Kind: overload.Gone, ID: r.id, Outcome: how})
 	b.unowed(r)
 }
 
--- a/backend/stand_test.go
+++ b/backend/stand_test.go
@@ -94,6 +94,7 @@
 	of   map[string]net.Conn // that named an id last
 	all  []net.Conn
 	mute bool // the processor does not answer for the gauges
+	runs bool // it runs each req at once, unprinted
 	once bool // the next tier resets a connection at its second call, unread
 }
 
@@ -166,6 +167,15 @@
 		}
 		if words[0] == "begin" {
 			p.s.know(words[1], true)
+			if p.mu.Lock(); p.runs {
+				p.s.n++
+				fmt.Fprintf(c, "complete %d %s ok 1 2\r\nok\r\n", p.s.n, words[1])
+			}
+			served := p.runs
+			p.mu.Unlock()
+			if served {
+				continue
+			}
 		} else if words[0] == "interrupt" {
 			if begun, strange := p.s.know(words[1], false); strange {
 				fmt.Fprintf(c, "reject interrupt %s\r\n", words[1])
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -85,6 +86,34 @@
 		} else {
 			s.print("crowd", "at most %d stay open, and more than half of that", most)
 		}
+	case "many": // so many reqs, each with an id, an edge node and a connection of its own
+		n, _ := strconv.Atoi(w[1])
+		done := 0
+		for i := range n {
+			c, err := net.Dial("tcp", s.listen)
+			if err != nil {
+				continue
+			}
+			_, _ = io.WriteString(c, request(1, map[string]string{"HTTP_X_REQUEST_ID": fmt.Sprintf("%016x", 1<<20+i),
+				"HTTP_X_CALLER": strconv.Itoa(1000 + i), "HTTP_X_OBJECT": strconv.Itoa(i)}))
+			head := make([]byte, 24)
+			if _, err := io.ReadFull(c, head); err == nil && strings.HasSuffix(string(head), "Status: 200 OK\r\n") {
+				done++
+			}
+			if i%2 == 0 { // the others stay open for good
+				_ = c.Close()
+			} else {
+				s.t.Cleanup(func() { _ = c.Close() })
+			}
+		}
+		s.print("many", "%d of %d done", done, n)
+	case "kept":
+		s.b.box.Post(func() {
+			b := s.b
+			s.print("kept", "%d reqs, %d connections, %d strange, %d calls, %d wires, %d results, %d trials, %d bytes half read",
+				len(b.reqs), len(b.front.edges), len(b.link.strange), len(b.tier.calls), len(b.tier.wires), len(b.keys.byID),
+				len(b.link.trials), b.front.parts)
+		})
 	case "counters":
 		c := s.b.Counters()
 		s.print("counters", "reqs %d, done %d, shed %d, errored %d, gone %d, owed %d, bad reqs %d, bad connections %d, "+
@@ -110,6 +139,10 @@
 			s.mu.Lock()
 			s.known[w[2]] = false
 			s.mu.Unlock()
+		case "runs":
+			p.mu.Lock()
+			p.runs = true
+			p.mu.Unlock()
 		case "forgets":
 			p.mu.Lock()
 			p.once = true
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -152,7 +152,7 @@
 	actions   []Action
 
 	cores, memory, runFactor, keySize           float64
-	fall, coldFrom, share                       float64
+	fall, coldFrom, share, tier                 float64
 	coldFor, grace, linger, callsOver, maxRetry time.Duration
 	started, batch, shareFor, left, stop        time.Duration // left is the notice, stop when the process stops
 	canStop, cold, retryAdvice, leaving         bool
@@ -186,7 +186,7 @@
 	c.cores, c.memory = math.Max(1, get(b, "cores", 1.0)), get(b, "memory", math.Inf(1))
 	c.runFactor, c.keySize = math.Max(1, get(b, "run_factor", 1.0)), get(b, "key_size", 0.0)
 	c.canStop, c.batch = get(b, "halt", "off") != "off", get(settings, "batch_every", time.Duration(0))
-	c.below, c.signal = get(b, "below", "off"), get(b, "signal", "off")
+	c.below, c.signal, c.tier = get(b, "below", "off"), get(b, "signal", "off"), get(settings, "tier", 0.0)
 	c.share, c.callsOver = get(b, "calls_share", 0.0), get(b, "calls_over", 5*time.Second)
 	c.linger, c.shareFor = get(b, "linger", time.Duration(0)), get(b, "share_for", time.Duration(0))
 	c.cold, c.edges, c.spread = get(b, "cold", false), get(b, "callers", 0.0), get(b, "callers", 0.0)
@@ -203,7 +203,7 @@
 			value: math.Max(0.01, get(m, "value", 1.0)), late: get(m, "late_share", 0.0)}
 		h.target = min(get(m, "response_target", h.timeout), h.timeout)
 		// Who calls a tier below has the target for itself and its calls: an answer in the last moment is late.
-		h.target = time.Duration(float64(h.target) / (1 + math.Max(0, get(settings, "tier", 0.0))))
+		h.target = time.Duration(float64(h.target) / (1 + math.Max(0, c.tier)))
 		h.uniqued, h.once = get(m, "repeats", "") == "uniqued", get(m, "repeats", "") == "non-replayable"
 		if i < len(skips) {
 			h.skip, _ = skips[i].(float64)
@@ -244,7 +244,7 @@
 		case e.Kind == Ended:
 			c.ended(now, r, e)
 		case e.Kind == Gone:
-			c.goneAway(now, r)
+			c.goneAway(now, r, e.Outcome)
 		case e.Kind == NeedsCall:
 			c.progress = now
 			r.calledAt = now
@@ -676,9 +676,9 @@
 // owing tells whether a final answer is still to be decided.
 func (r *req) owing() bool { return r.at != over && r.out == none && r.wantOut == none && !r.gone }
 
-func (c *Controller) goneAway(now time.Duration, r *req) {
+func (c *Controller) goneAway(now time.Duration, r *req, how Outcome) {
 	r.gone = true
-	if r.out == none && r.h.replayable() {
+	if r.out == none && r.h.replayable() && how != BrokenOff {
 		c.learn(now, r, true)
 	}
 	if r.at == held || r.at == joined {
@@ -689,12 +689,12 @@
 	}
 }
 
-// learn corrects the patience of callers: who tries again gives a try up long before the client timeout.
+// learn corrects the patience of callers: who tries again gives a try up long before the client timeout. A
+// tier above gives its calls up at any time, with the req they are for: that tells nothing.
 func (c *Controller) learn(now time.Duration, r *req, gaveUp bool) {
 	f := (now - r.arrived).Seconds() / r.h.timeout.Seconds()
-	if gaveUp || c.patience > 0 && f > c.patience {
-		c.patience += patiencePace * (f - cmp.Or(c.patience, f))
-		c.patience = cmp.Or(c.patience, f)
+	if gaveUp && c.tier == 0 || c.patience > 0 && f > c.patience {
+		c.patience = cmp.Or(c.patience, f) + patiencePace*(f-cmp.Or(c.patience, f))
 	}
 }
 
--- a/overload/trace_test.go
+++ b/overload/trace_test.go
@@ -229,3 +229,30 @@
 		t.Errorf("signal %.1f with lasting numbers, %.1f with new ones", lasting, renamed)
 	}
 }
+
+// TestKept: of reqs, callers and keys that are always new nothing stays longer than it counts.
+func TestKept(t *testing.T) {
+	c := New(1, standard(), 0)
+	for i := range 100000 {
+		now, id := time.Duration(i)*time.Millisecond, uint64(i+1)
+		events := []Event{{Kind: Arrived, ID: id, Caller: i, Handler: i % 3, Size: 1, Hint: time.Millisecond},
+			{Kind: Ended, ID: id - 5, Outcome: OK}, {Kind: Gone, ID: id - 7}}
+		if i%100 == 0 {
+			events = append(events, Event{Kind: Timer, Gauges: []float64{0.5, 1}})
+		}
+		c.Handle(now, events)
+	}
+	if len(c.reqs) > 10 || len(c.all) > 200 || len(c.from) > 40000 || len(c.lapsed) > 3000 || len(c.keys) > 2000 {
+		t.Error("kept:", len(c.reqs), "reqs,", len(c.all), "listed,", len(c.from), "callers,", len(c.lapsed), "lapsed,",
+			len(c.keys), "keys")
+	}
+	for i := range uint64(10) { // what still runs
+		c.Handle(100*time.Second, []Event{{Kind: Ended, ID: 99991 + i, Outcome: OK}})
+	}
+	for i := range 1000 {
+		c.Handle(100*time.Second+time.Duration(i)*100*time.Millisecond, []Event{{Kind: Timer, Gauges: []float64{0, 0}}})
+	}
+	if n := len(c.reqs) + len(c.all) + len(c.from) + len(c.lapsed) + len(c.keys); n != 0 {
+		t.Error("kept after a while:", len(c.reqs), len(c.all), len(c.from), len(c.lapsed), len(c.keys))
+	}
+}
--- a/overload/types.go
+++ b/overload/types.go
@@ -10,7 +10,7 @@
 const (
 	Arrived   EventKind = iota + 1 // a req was read into the hold
 	Ended                          // a run or a join has ended
-	Gone                           // the caller no longer waits
+	Gone                           // the caller no longer waits, or (BrokenOff) can no longer be reached
 	NeedsCall                      // a running req stands at a call to what lies below
 	CallEnded                      // that call has ended
 	Timer                          // the wanted time has come; carries the gauges
@@ -50,7 +50,7 @@
 	Unread   time.Duration // Arrived: how long it lay unread
 	RepeatOf uint64        // Arrived: the remembered req that this one repeats, 0 none
 
-	Outcome Outcome       // Ended, CallEnded
+	Outcome Outcome       // Ended, CallEnded, Gone
 	Took    time.Duration // Ended, CallEnded
 	Gauges  []float64     // Timer: in the order of the settings' gauges
 }
