--- a/backend/tier.go
+++ b/backend/tier.go
@@ -281,7 +281,9 @@
 		}
 	}
 	for w := range t.wires { // each alike
-		w.doubt, w.finish = true, t.b.now+linkFinish
+		if w.doubt = true; w.finish == 0 {
+			w.finish = t.b.now + linkFinish
+		}
 		if len(w.calls) == 0 {
 			t.close(w)
 		}
