Read over once more: one place each for redials, leaving the idle list and strange reqs

Folded: the three copies of putting off the next dial to the processor (link.dialLater); the two that take a connection out of the idle ones (tier.notIdle), now part of sending a call, so that a call placed on a free connection for want of room can't leave it listed as free; the end of a req the processor does not know and of one given up before that is known go through answered and unowed, as all others. In the tests three steps that set a stand-in's way are one, and two comments say what holds.

--- a/backend/front.go
+++ b/backend/front.go
@@ -128,7 +128,7 @@
 	e.c.Close(why)
 }
 
-// bad answers a req that can't be taken. Who sends nothing else is closed: it would begin again at once.
+// bad answers a req that can't be taken. Who goes on with such is closed: it would begin again at once.
 func (f *front) bad(e *edge, slot uint16, keep bool, status, why string) {
 	f.b.count.BadReqs++
 	f.b.note("bad req", "why", why)
@@ -246,12 +246,9 @@
 // unknown follows the processor's word that it knows no such req: nobody sent it one, and whoever sends reqs that
 // nobody knows is no edge node.
 func (f *front) unknown(r *req) {
-	b, e := f.b, r.edge
-	b.owed--
-	delete(b.reqs, r.id)
-	delete(e.open, r.slot)
-	r.edge = nil
-	f.bad(e, r.slot, false, "400 Bad Request", "no req of this machine")
+	delete(r.edge.open, r.slot)
+	f.bad(r.edge, r.slot, false, "400 Bad Request", "no req of this machine")
+	f.b.answered(r)
 }
 
 // check answers a health check: a shallow one and one the module calls cheap from what the module said last.
--- a/backend/link.go
+++ b/backend/link.go
@@ -86,13 +86,12 @@
 		}
 	case err != nil:
 		b.note("processor not reached", "why", err)
-		l.dialAt = b.now + l.wait
-		l.wait = min(2*l.wait, redialMax)
+		l.dialLater()
 	case l.up && l.resync == 0: // the old link works: nothing is left in doubt by the change
 		l.next = c
 		c.Closed = func(error) {
-			l.next, l.quiet, l.dialAt = nil, 0, b.now+l.wait
-			l.wait = min(2*l.wait, redialMax)
+			l.next, l.quiet = nil, 0
+			l.dialLater()
 		}
 		l.usage()
 		l.quiet, l.quietBy = l.tag, b.now+quietMost
@@ -103,6 +102,12 @@
 	}
 }
 
+// dialLater puts the next try off, each time for longer, until the processor says hi.
+func (l *link) dialLater() {
+	l.dialAt = l.b.now + l.wait
+	l.wait = min(2*l.wait, redialMax)
+}
+
 // move has the link lead to another address; the old one is used until the new one stands.
 func (l *link) move(address string) {
 	if address == l.address {
@@ -144,9 +149,9 @@
 		}
 		b.count.LinksLost++
 		b.note("link lost", "why", err)
-		l.c, l.up, l.moved, l.dialAt = nil, false, false, b.now+l.wait
+		l.c, l.up, l.moved = nil, false, false
 		l.admit(math.MaxUint64) // nobody can tell now
-		l.wait = min(2*l.wait, redialMax)
+		l.dialLater()
 		if l.next != nil {
 			l.replace()
 		}
--- a/backend/req.go
+++ b/backend/req.go
@@ -145,18 +145,16 @@
 	b.owed--
 	b.count.Gone++
 	r.edge = nil
-	if r.at == strange {
-		delete(b.reqs, r.id)
-		return
+	if r.at != strange {
+		b.events = append(b.events, overload.Event{Kind: overload.Gone, ID: r.id, Outcome: how})
 	}
-	b.events = append(b.events, overload.Event{Kind: overload.Gone, ID: r.id, Outcome: how})
 	b.unowed(r)
 }
 
 // unowed lets go of a req that never ran, and ends a run that stands at a call: as the simulator does.
 func (b *Backend) unowed(r *req) {
 	switch r.at {
-	case held, joined:
+	case strange, held, joined:
 		delete(b.reqs, r.id)
 		b.keys.ended(r, overload.Errored, nil)
 	case asking, calling:
--- a/backend/stand_test.go
+++ b/backend/stand_test.go
@@ -135,12 +135,11 @@
 		if err != nil {
 			return
 		}
-		if p.mu.Lock(); p.once && n > 0 {
-			_ = c.Close()
-		}
+		p.mu.Lock()
 		forgot := p.once && n > 0
 		p.mu.Unlock()
 		if forgot {
+			_ = c.Close()
 			return
 		}
 		words := strings.Fields(line)
--- a/backend/tier.go
+++ b/backend/tier.go
@@ -83,7 +83,6 @@
 	for i := len(t.idle) - 1; i >= 0; i-- {
 		w := t.idle[i]
 		if w.last != k.r.id && b.now-w.used < t.safe {
-			t.idle = slices.Delete(t.idle, i, i+1)
 			t.send(w, k)
 			return
 		}
@@ -172,6 +171,7 @@
 
 func (t *tier) send(w *wire, k *call) {
 	b := t.b
+	t.notIdle(w)
 	k.sent, k.idle, k.mark = b.now, b.now-w.used, w.c.Mark()
 	k.w, w.last, w.used = w, k.r.id, b.now
 	w.calls[k.r.id] = k
@@ -218,6 +218,10 @@
 func (t *tier) forget(w *wire) {
 	w.doubt = true
 	delete(t.wires, w)
+	t.notIdle(w)
+}
+
+func (t *tier) notIdle(w *wire) {
 	t.idle = slices.DeleteFunc(t.idle, func(o *wire) bool { return o == w })
 }
 
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -139,17 +139,10 @@
 			s.mu.Lock()
 			s.known[w[2]] = false
 			s.mu.Unlock()
-		case "runs":
+		case "runs", "forgets", "mute":
+			way := map[string]*bool{"runs": &p.runs, "forgets": &p.once, "mute": &p.mute}[w[1]]
 			p.mu.Lock()
-			p.runs = true
-			p.mu.Unlock()
-		case "forgets":
-			p.mu.Lock()
-			p.once = true
-			p.mu.Unlock()
-		case "mute":
-			p.mu.Lock()
-			p.mute = w[2] == "on"
+			*way = len(w) == 2 || w[2] == "on"
 			p.mu.Unlock()
 		case "breaks":
 			p.close()
--- a/overload/trace_test.go
+++ b/overload/trace_test.go
@@ -206,7 +206,7 @@
 		}
 		c := New(1, settings, 0)
 		for i := range 3000 {
-			now, id, number := time.Duration(i)*10*time.Millisecond, uint64(i+1), (i*7%12+1)/2 // 0 to 6; each other is half of one of six
+			now, id, number := time.Duration(i)*10*time.Millisecond, uint64(i+1), (i*7%12+1)/2 // 1 to 6 where i is odd
 			if i%2 == 0 {
 				number = 7
 			}
