account: each req opened once and closed once, with a reason, in figures that add up

Cause: taken = done + shed + errored + gone + owed does not hold on strangers, and nothing notices.

account/ is a state machine without I/O: ops open, answer, send and close reqs; figures by handler, front, reason, customer (a bounded table), period (a ring) and life are kept twice and compared. Not yet used by the core.

--- /dev/null
+++ b/account/encode.go
@@ -0,0 +1,461 @@
+package account
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// ErrRecord is a record that can't be read.
+var ErrRecord = errors.New("a record that can't be read")
+
+func appendUint(b []byte, field protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	return protowire.AppendVarint(protowire.AppendTag(b, field, protowire.VarintType), v)
+}
+
+func appendInt[T ~int64](b []byte, field protowire.Number, v T) []byte {
+	return appendUint(b, field, uint64(v))
+}
+
+func appendFixed(b []byte, field protowire.Number, v uint64) []byte {
+	return protowire.AppendFixed64(protowire.AppendTag(b, field, protowire.Fixed64Type), v)
+}
+
+// appendPart appends a message whose content is appended by f.
+func appendPart(b []byte, field protowire.Number, f func(b []byte) []byte) []byte {
+	b = protowire.AppendTag(b, field, protowire.BytesType)
+	const room = 4 // bytes of a padded length: parts are under 256 MB
+	at := len(b)
+	b = f(append(b, make([]byte, room)...))
+	n := len(b) - at - room
+	for i := range room {
+		b[at+i] = byte(n>>(7*i))&0x7f | 0x80
+	}
+	b[at+room-1] &= 0x7f
+	return b
+}
+
+func appendCells(b []byte, field protowire.Number, cells []int64) []byte {
+	return appendPart(b, field, func(b []byte) []byte {
+		return appendPart(b, 1, func(b []byte) []byte {
+			for i, n := range cells {
+				if n != 0 {
+					r, why := i/reasons, i%reasons
+					b = protowire.AppendVarint(b, uint64(r/fronts)<<12|uint64(r%fronts)<<8|uint64(why))
+					b = protowire.AppendVarint(b, uint64(n))
+				}
+			}
+			return b
+		})
+	})
+}
+
+func appendFigures(b []byte, field protowire.Number, f Figures) []byte {
+	return appendPart(b, field, func(b []byte) []byte {
+		for i, n := range [...]int64{f.Taken, f.Served, f.Refused, f.Failed, f.Open} {
+			b = appendInt(b, protowire.Number(i+1), n)
+		}
+		return b
+	})
+}
+
+func appendPeriod(b []byte, start, span time.Duration, cells []int64) []byte {
+	return appendCells(appendInt(appendInt(b, 1, start), 2, span), 3, cells)
+}
+
+// AppendSnapshot adds all of the book but its closed periods.
+func (b *Book) AppendSnapshot(out []byte) []byte {
+	out = appendUint(out, 1, b.seq)
+	for _, h := range b.handlers {
+		out = protowire.AppendString(protowire.AppendTag(out, 2, protowire.BytesType), h)
+	}
+	out = appendFigures(appendCells(out, 3, b.cells), 4, b.total)
+	out = appendInt(out, 5, b.differs)
+	out = appendUint(out, 6, protowire.EncodeBool(b.flushing))
+	for slot := range b.entries {
+		if e := &b.entries[slot]; e.state != free {
+			out = appendPart(out, 7, func(p []byte) []byte {
+				p = appendInt(appendFixed(appendUint(p, 1, uint64(slot)), 2, e.id), 3, e.at)
+				p = appendUint(appendUint(appendUint(p, 4, uint64(e.handler)), 5, uint64(e.front)), 6, uint64(e.customer))
+				return appendUint(appendUint(p, 7, uint64(e.state)), 8, uint64(e.reason))
+			})
+		}
+	}
+	out = appendUint(out, 8, uint64(b.customers.most))
+	for i := range b.customers.list {
+		c := &b.customers.list[i]
+		out = appendPart(out, 9, func(p []byte) []byte {
+			p = protowire.AppendBytes(protowire.AppendTag(p, 1, protowire.BytesType), c.name.bytes[:c.name.length])
+			return appendFigures(appendUint(p, 2, c.weight), 3, c.Figures)
+		})
+	}
+	if p := &b.periods; p.most > 0 {
+		out = appendInt(appendInt(out, 10, p.most), 11, p.every)
+		out = appendInt(appendUint(appendUint(out, 12, p.first), 13, p.next), 14, p.start)
+		out = appendCells(appendCells(out, 15, p.present), 16, p.before)
+	}
+	for i := range b.lives.list {
+		l := &b.lives.list[i]
+		out = appendPart(out, 17, func(p []byte) []byte {
+			p = appendInt(appendInt(appendInt(appendUint(p, 1, l.Number), 2, l.Boot), 3, l.Started), 4, l.Last)
+			p = appendInt(appendUint(p, 5, uint64(l.Ending)), 6, l.Doubted)
+			for _, id := range l.Doubt {
+				p = appendFixed(p, 7, id)
+			}
+			return appendFigures(p, 8, l.Figures)
+		})
+	}
+	return appendUint(appendFigures(out, 18, b.lives.earlier), 19, b.lives.before)
+}
+
+// SnapshotSize is how long a snapshot of a book like this one can be with so many open reqs, in bytes.
+func (b *Book) SnapshotSize(open int) int {
+	return 4096 + 3*14*len(b.cells) + 64*len(b.handlers) + 128*(b.customers.most+1) + 80*open +
+		livesMost*(192+9*doubtMost)
+}
+
+// field is one of a message: a number, or the bytes of a part.
+type field struct {
+	number protowire.Number
+	v      uint64
+	bytes  []byte
+}
+
+// eachField calls f for each field of a message.
+func eachField(b []byte, f func(field) error) error {
+	for len(b) > 0 {
+		number, kind, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return ErrRecord
+		}
+		b = b[n:]
+		x := field{number: number}
+		switch kind {
+		case protowire.VarintType:
+			x.v, n = protowire.ConsumeVarint(b)
+		case protowire.Fixed64Type:
+			x.v, n = protowire.ConsumeFixed64(b)
+		case protowire.BytesType:
+			x.bytes, n = protowire.ConsumeBytes(b)
+		default:
+			return ErrRecord
+		}
+		if n < 0 {
+			return ErrRecord
+		}
+		b = b[n:]
+		if err := f(x); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// eachCell calls f for each cell that is not zero; there are as many rows as the reader says.
+func eachCell(b []byte, f func(cell int, n int64) error) error {
+	return eachField(b, func(x field) error {
+		for p := x.bytes; len(p) > 0; {
+			key, k := protowire.ConsumeVarint(p)
+			if k < 0 {
+				return ErrRecord
+			}
+			n, m := protowire.ConsumeVarint(p[k:])
+			front, why := key>>8&0xf, key&0xff
+			if m < 0 || n > math.MaxInt64 || key>>12 >= handlersMost || front >= fronts || why >= reasons ||
+				why != 0 && Reason(why).Figure() == 0 {
+				return ErrRecord
+			}
+			p = p[k+m:]
+			if err := f((int(key>>12)*fronts+int(front))*reasons+int(why), int64(n)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// addCells adds what is encoded to cells.
+func addCells(cells []int64, b []byte) error {
+	return eachCell(b, func(cell int, n int64) error {
+		if cell >= len(cells) {
+			return ErrRecord
+		}
+		cells[cell] += n
+		return nil
+	})
+}
+
+// splitPeriod gives the parts of an encoded period.
+func splitPeriod(b []byte) (start, span time.Duration, cells []byte, err error) {
+	err = eachField(b, func(x field) error {
+		switch x.number {
+		case 1:
+			start = time.Duration(x.v)
+		case 2:
+			span = time.Duration(x.v)
+		case 3:
+			cells = x.bytes
+		}
+		return nil
+	})
+	if err == nil && (start <= 0 || span <= 0) {
+		err = ErrRecord
+	}
+	return start, span, cells, err
+}
+
+func readFigures(b []byte) (f Figures, err error) {
+	err = eachField(b, func(x field) error {
+		to := [...]*int64{&f.Taken, &f.Served, &f.Refused, &f.Failed, &f.Open}
+		if x.number > 5 || x.v > math.MaxInt64 {
+			return ErrRecord
+		}
+		*to[x.number-1] = int64(x.v)
+		return nil
+	})
+	return f, err
+}
+
+// Restore has a book again from a snapshot. period gives a closed period that was recorded, nil if it is lost.
+func Restore(snapshot []byte, period func(number uint64) []byte) (*Book, error) {
+	var handlers []string
+	var cfg Config
+	var first, next uint64
+	wrong := func(what string, args ...any) error {
+		return fmt.Errorf("%w: %s", ErrRecord, fmt.Sprintf(what, args...))
+	}
+	if err := eachField(snapshot, func(x field) error { // what gives the others their size
+		switch x.number {
+		case 2:
+			handlers = append(handlers, string(x.bytes))
+		case 8:
+			cfg.Customers = int(min(x.v, math.MaxInt32))
+		case 10:
+			cfg.Periods = int(min(x.v, math.MaxInt32))
+		case 11:
+			cfg.Every = time.Duration(x.v)
+		case 12:
+			first = x.v
+		case 13:
+			next = x.v
+		}
+		if len(handlers) > handlersMost {
+			return wrong("more than %d handlers", handlersMost)
+		}
+		return nil
+	}); err != nil {
+		return nil, err
+	}
+	if len(handlers) == 0 || handlers[0] != noHandler {
+		return nil, wrong("no handlers")
+	}
+	b, err := New(cfg)
+	if err != nil {
+		return nil, wrong("%v", err)
+	}
+	b.handlers = handlers
+	b.lay()
+	b.periods.init(cfg, len(b.cells))
+	if next < first || next-first > uint64(cfg.Periods) {
+		return nil, wrong("periods %d to %d of %d", first, next, cfg.Periods)
+	}
+	p := &b.periods
+	p.first, p.next = first, next
+	for n := first; n < next; n++ {
+		data := period(n)
+		_, _, cells, err := splitPeriod(data)
+		if err != nil || addCells(p.kept, cells) != nil {
+			return nil, wrong("period %d", n)
+		}
+		p.ring[n%uint64(p.most)] = append([]byte(nil), data...)
+	}
+	listed := 0
+	if err := eachField(snapshot, func(x field) error { return b.read(x, &listed) }); err != nil {
+		return nil, err
+	}
+	b.finish()
+	b.Audit(0)
+	if len(b.found) > 0 {
+		d := b.found[0]
+		return nil, wrong("%s: %d and %d", d.What, d.Left, d.Right)
+	}
+	return b, nil
+}
+
+// read takes a field of a snapshot.
+func (b *Book) read(x field, customersRead *int) (err error) {
+	p := &b.periods
+	switch x.number {
+	case 1:
+		b.seq = x.v
+	case 3:
+		return addCells(b.cells, x.bytes)
+	case 4:
+		b.total, err = readFigures(x.bytes)
+	case 5:
+		b.differs = int64(x.v)
+	case 6:
+		b.flushing = x.v == 1
+	case 7:
+		return b.readOpen(x.bytes)
+	case 9:
+		return b.readCustomer(x.bytes, customersRead)
+	case 14:
+		p.start = time.Duration(x.v)
+	case 15:
+		return addCells(p.present, x.bytes)
+	case 16:
+		return addCells(p.before, x.bytes)
+	case 17:
+		return b.readLife(x.bytes)
+	case 18:
+		b.lives.earlier, err = readFigures(x.bytes)
+	case 19:
+		b.lives.before = x.v
+	}
+	return err
+}
+
+func (b *Book) readOpen(part []byte) error {
+	var slot uint64
+	var e entry
+	if err := eachField(part, func(x field) error {
+		if x.number != 2 && x.number != 3 && x.v > math.MaxUint32 {
+			return ErrRecord
+		}
+		switch x.number {
+		case 1:
+			slot = x.v
+		case 2:
+			e.id = x.v
+		case 3:
+			e.at = time.Duration(x.v)
+		case 4:
+			e.handler = uint16(min(x.v, math.MaxUint16))
+		case 5:
+			e.front = Front(min(x.v, fronts))
+		case 6:
+			e.customer = uint16(min(x.v, math.MaxUint16))
+		case 7:
+			e.state = state(min(x.v, 255))
+		case 8:
+			e.reason = Reason(min(x.v, 255))
+		}
+		return nil
+	}); err != nil {
+		return err
+	}
+	e.gen = 1 // tickets do not outlive a process
+	if slot >= openMost || int(e.handler) >= len(b.handlers) || e.front >= fronts || e.state != waits && e.state != answering ||
+		e.state == answering && e.reason.Figure() == 0 || int(e.customer) > b.customers.most {
+		return fmt.Errorf("%w: an open req", ErrRecord)
+	}
+	for int(slot) >= len(b.entries) {
+		b.entries = append(b.entries, entry{})
+	}
+	if b.entries[slot].state != free {
+		return fmt.Errorf("%w: two open reqs in one place", ErrRecord)
+	}
+	b.entries[slot] = e
+	return nil
+}
+
+func (b *Book) readCustomer(part []byte, read *int) error {
+	var c customer
+	if err := eachField(part, func(x field) (err error) {
+		switch x.number {
+		case 1:
+			c.name = NameOf(x.bytes)
+		case 2:
+			c.weight = x.v
+		case 3:
+			c.Figures, err = readFigures(x.bytes)
+		}
+		return err
+	}); err != nil {
+		return err
+	}
+	if *read++; *read == 1 {
+		b.customers.list[0] = c
+		return nil
+	}
+	if _, twice := b.customers.byName[c.name]; twice || len(b.customers.list) > b.customers.most {
+		return fmt.Errorf("%w: customers", ErrRecord)
+	}
+	b.customers.list = append(b.customers.list, c)
+	b.customers.byName[c.name] = uint16(len(b.customers.list) - 1)
+	return nil
+}
+
+func (b *Book) readLife(part []byte) error {
+	var l Life
+	if err := eachField(part, func(x field) (err error) {
+		switch x.number {
+		case 1:
+			l.Number = x.v
+		case 2:
+			l.Boot = time.Duration(x.v)
+		case 3:
+			l.Started = time.Duration(x.v)
+		case 4:
+			l.Last = time.Duration(x.v)
+		case 5:
+			l.Ending = Ending(min(x.v, uint64(Rebooted)))
+		case 6:
+			l.Doubted = int64(x.v)
+		case 7:
+			l.Doubt = append(l.Doubt, x.v)
+		case 8:
+			l.Figures, err = readFigures(x.bytes)
+		}
+		return err
+	}); err != nil {
+		return err
+	}
+	if len(b.lives.list) >= livesMost || len(l.Doubt) > doubtMost {
+		return fmt.Errorf("%w: lives", ErrRecord)
+	}
+	b.lives.list = append(b.lives.list, l)
+	return nil
+}
+
+// finish works out what a snapshot does not hold.
+func (b *Book) finish() {
+	for i := range b.cells {
+		f := &b.rows[i/reasons]
+		switch g := Reason(i % reasons).Figure(); {
+		case i%reasons == 0:
+			f.Taken, f.Open = b.cells[i], f.Open+b.cells[i]
+		case g != 0:
+			f.Open -= b.cells[i]
+			switch g {
+			case Served:
+				f.Served += b.cells[i]
+			case Refused:
+				f.Refused += b.cells[i]
+			case Failed:
+				f.Failed += b.cells[i]
+			}
+		}
+	}
+	b.Rested()
+}
+
+// Rested ends a replay: places are given anew from here on.
+func (b *Book) Rested() {
+	b.unused, b.answering = b.unused[:0], 0
+	for slot := range b.entries {
+		switch b.entries[slot].state {
+		case free:
+			b.unused = append(b.unused, uint32(slot))
+		case answering:
+			b.answering++
+		}
+	}
+}
--- /dev/null
+++ b/account/life.go
@@ -0,0 +1,106 @@
+package account
+
+import "time"
+
+const (
+	livesMost = 64   // lives told one by one; earlier ones are summed
+	doubtMost = 1024 // ids in doubt that are listed of a life; more are counted
+)
+
+// Ending tells how a life ended.
+type Ending uint8
+
+// The endings. The numbers stand in files.
+const (
+	Runs     Ending = iota // or nothing is known of its end yet
+	Left                   // by itself, and said so
+	Killed                 // without a word
+	Rebooted               // without a word, and the machine has started since: what was not on the disk is lost
+)
+
+// String is the ending's word.
+func (e Ending) String() string {
+	return [...]string{"runs", "left", "killed", "rebooted"}[min(e, Rebooted)]
+}
+
+// Life is one process: its number, when it was, and its figures.
+type Life struct {
+	Figures
+	Number  uint64
+	Boot    time.Duration // of the machine, by its clock
+	Started time.Duration
+	Last    time.Duration // the last op
+	Ending  Ending
+	Doubted int64    // reqs whose answer may have been handed over or not
+	Doubt   []uint64 // their ids
+}
+
+type lives struct {
+	list    []Life
+	earlier Figures // of those no longer told one by one
+	before  uint64  // how many those are
+}
+
+// now is the figures of the present life.
+func (l *lives) now() *Figures {
+	if len(l.list) == 0 {
+		l.list = append(l.list, Life{Number: l.before + 1})
+	}
+	return &l.list[len(l.list)-1].Figures
+}
+
+func (l *lives) seen(at time.Duration) {
+	l.now()
+	l.list[len(l.list)-1].Last = at
+}
+
+// Lives are those told one by one, the present one last, and the figures and number of all earlier ones.
+func (b *Book) Lives() (list []Life, earlier Figures, before uint64) {
+	return b.lives.list, b.lives.earlier, b.lives.before
+}
+
+// Begin opens a new life. What the last one left open stays on its account: as in doubt where its answer was being handed
+// over, else as cut.
+func (b *Book) Begin(at, boot time.Duration) {
+	l := &b.lives
+	if n := len(l.list); n > 0 && l.list[n-1].Ending == Runs {
+		how := Killed
+		if apart := boot - l.list[n-1].Boot; apart > bootSlack || apart < -bootSlack {
+			how = Rebooted
+		}
+		b.Settle(CutByKill, how)
+	}
+	number := l.before + uint64(len(l.list)) + 1
+	if len(l.list) >= livesMost {
+		l.earlier = l.earlier.Plus(l.list[0].Figures)
+		l.before++
+		l.list = append(l.list[:0], l.list[1:]...)
+	}
+	l.list = append(l.list, Life{Number: number, Boot: boot, Started: at, Last: at})
+}
+
+// bootSlack is how far the time of one boot may seem to move: it is worked out from a clock that is set at times.
+const bootSlack = time.Minute
+
+// Settle closes all that is open, at the end of a life.
+func (b *Book) Settle(why Reason, how Ending) {
+	b.lives.now()
+	life := &b.lives.list[len(b.lives.list)-1]
+	for slot := range b.entries {
+		e := &b.entries[slot]
+		reason := why
+		switch {
+		case e.state == free:
+			continue
+		case e.state == answering && b.flushing:
+			reason = InDoubt
+			life.Doubted++
+			if len(life.Doubt) < doubtMost {
+				life.Doubt = append(life.Doubt, e.id)
+			}
+		}
+		b.do(Op{Kind: OpClose, At: life.Last, Slot: uint32(slot), Reason: reason})
+	}
+	b.Flush(life.Last, false)
+	life.Ending = how
+}
--- /dev/null
+++ b/account/renew.go
@@ -0,0 +1,107 @@
+package account
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Renew gives the book of a box that starts again, with the accounts of its earlier lives. Handlers are the same by
+// name; those that are no more keep a row while there is room. What customers and periods no longer have room for goes
+// to all others and to what was before. The old book is at rest: its last life is settled first.
+func (b *Book) Renew(cfg Config, at, boot time.Duration) (*Book, error) {
+	n, err := New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	n.seq, n.differs, n.lives = b.seq, b.differs, b.lives
+	n.lives.list = slices.Clone(b.lives.list)
+	n.keepOps = false
+	if len(n.lives.list) > 0 && n.lives.list[len(n.lives.list)-1].Ending == Runs { // settled in the old rows
+		b.Begin(at, boot)
+		n.seq, n.lives = b.seq, b.lives
+		n.lives.list = slices.Clone(b.lives.list)
+	} else {
+		n.Begin(at, boot)
+	}
+	to := make([]int, len(b.handlers))
+	for i, name := range b.handlers {
+		k := slices.Index(n.handlers, name)
+		used := slices.ContainsFunc(b.rows[i*fronts:(i+1)*fronts], func(f Figures) bool { return f.Taken != 0 })
+		switch {
+		case k >= 0:
+		case !used:
+			k = 0
+		case len(n.handlers) < handlersMost-1 || name == former && len(n.handlers) < handlersMost:
+			n.handlers = append(n.handlers, name)
+			k = len(n.handlers) - 1
+		default:
+			if k = slices.Index(n.handlers, former); k < 0 {
+				n.handlers = append(n.handlers, former)
+				k = len(n.handlers) - 1
+			}
+		}
+		to[i] = k
+	}
+	n.lay()
+	n.periods.init(n.cfg, len(n.cells))
+	move := func(cells, from []int64) {
+		for i, v := range from {
+			h := i / (fronts * reasons)
+			cells[to[h]*fronts*reasons+i%(fronts*reasons)] += v
+		}
+	}
+	move(n.cells, b.cells)
+	n.total = b.total
+	n.finish()
+	n.takeCustomers(b)
+	n.takePeriods(b, move)
+	return n, nil
+}
+
+func (b *Book) takeCustomers(old *Book) {
+	c := &b.customers
+	c.list[0].Figures = old.customers.list[0].Figures
+	list := slices.Clone(old.customers.list[1:])
+	slices.SortStableFunc(list, func(x, y customer) int { return cmp.Compare(y.weight, x.weight) })
+	for i, x := range list {
+		if i >= c.most {
+			c.list[0].Figures = c.list[0].Plus(x.Figures)
+			continue
+		}
+		c.list = append(c.list, x)
+		c.byName[x.name] = uint16(len(c.list) - 1)
+	}
+}
+
+func (b *Book) takePeriods(old *Book, move func(cells, from []int64)) {
+	p := &b.periods
+	if p.most == 0 {
+		return
+	}
+	if old.periods.most == 0 {
+		copy(p.before, b.cells)
+		return
+	}
+	if old.periods.start != 0 {
+		old.periods.shut()
+	}
+	move(p.before, old.periods.before)
+	first, next := old.Periods()
+	p.first, p.next = first, first
+	for ; first < next; first++ {
+		start, span, cells, err := splitPeriod(old.PeriodData(first))
+		from := make([]int64, len(old.cells))
+		if err != nil || addCells(from, cells) != nil {
+			continue // proved when it was read: not reached
+		}
+		clear(p.present)
+		move(p.present, from)
+		p.start = start
+		every := p.every
+		p.every = int64(span) // each keeps the span it was lived with
+		p.shut()
+		p.every = every
+	}
+	p.start = 0
+}
