Every req is on one account from reading to the last byte of its answer

Cause: reqs that the processor does not know, bad ones and late ones were counted as taken in some places and in none of the others; an answer that never left counted as given.

The core tells package account of each req's transitions: taken, answered, handed over, closed. A req is taken when the front has it whole or refuses it for a fault of its own; an answer counts once its last byte was handed to the system.

--- a/account/reason.go
+++ b/account/reason.go
@@ -134,7 +134,13 @@
 }
 
 // Figures are the five figures. Taken is the sum of the others.
-type Figures struct{ Taken, Served, Refused, Failed, Open int64 }
+type Figures struct {
+	Taken   int64 `json:"taken"`
+	Served  int64 `json:"served"`
+	Refused int64 `json:"refused"`
+	Failed  int64 `json:"failed"`
+	Open    int64 `json:"open"`
+}
 
 // Sum is what Taken must be.
 func (f Figures) Sum() int64 { return f.Served + f.Refused + f.Failed + f.Open }
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -11,7 +11,9 @@
 	"syscall"
 	"time"
 
+	"frosthub/account"
 	"frosthub/internal/conn"
+	"frosthub/internal/figures"
 	"frosthub/internal/invariant"
 	"frosthub/internal/seldom"
 	"frosthub/overload"
@@ -48,7 +50,8 @@
 	owed     int             // reqs without their answer
 	events   []overload.Event
 	now      time.Duration
-	unix     int64 // the same moment in Unix milliseconds
+	unix     int64         // the same moment in Unix milliseconds
+	wall     time.Duration // and as a span since the start of 1970
 	next     time.Duration
 
 	wake      time.Duration // when the module wants a Timer event; 0 not
@@ -71,7 +74,11 @@
 	turned    atomic.Int64 // connections that found no room
 	notes     map[string]*seldom.Line
 	scratch   []byte
-	requested chan chan Counters
+	book      *account.Book     // nil until Serve
+	rows      []uint16          // of the handlers in it
+	record    *figures.Recorder // nil without a figures file
+	compareAt time.Duration
+	requested chan func()
 	stopped   chan struct{}
 }
 
@@ -92,7 +99,7 @@
 	}
 	b := &Backend{cfg: cfg, log: log, start: time.Now().Add(-startSpan), box: conn.NewInbox(),
 		reqs: map[uint64]*req{}, notes: map[string]*seldom.Line{}, good: true,
-		requested: make(chan chan Counters), stopped: make(chan struct{})}
+		requested: make(chan func()), stopped: make(chan struct{})}
 	part, _ := cfg.Settings["backend"].(map[string]any)
 	b.canStop = part["halt"] != nil && part["halt"] != "off"
 	list, _ := cfg.Settings["handlers"].([]any)
@@ -132,17 +139,27 @@
 
 // Counters returns the counters, while Serve runs and after it.
 func (b *Backend) Counters() Counters {
-	reply := make(chan Counters, 1)
+	var c Counters
+	b.ask(func() { c = b.counters() })
+	return c
+}
+
+// ask has the owner call f, and waits for it; what Serve left is at rest.
+func (b *Backend) ask(f func()) {
+	done := make(chan struct{})
 	select {
-	case b.requested <- reply:
-		return <-reply
+	case b.requested <- func() { f(); close(done) }:
+		<-done
 	case <-b.stopped:
-		return b.counters()
+		f()
 	}
 }
 
 func (b *Backend) counters() Counters {
 	c := b.count
+	if b.book != nil { // Serve has begun
+		c.Reqs, c.Differs = b.book.Total(), b.book.Differences()
+	}
 	c.ConnsRefused, c.Open, c.Owed, c.Broken = b.turned.Load(), b.box.Open.Load(), int64(b.owed), invariant.Broken()
 	return c
 }
@@ -154,6 +171,9 @@
 		b.box.Most = int(b.share(outShare))
 		b.box.InMost = int64(b.share(inShare))
 	}
+	if err := b.openBook(); err != nil {
+		return err
+	}
 	ln, err := b.box.Listen(b.cfg.Listen, b.front.room(), b.front.accept, func() { b.turned.Add(1) })
 	if err != nil {
 		return err
@@ -175,8 +195,8 @@
 			leave = nil
 			b.clock()
 			b.leave()
-		case reply := <-b.requested:
-			reply <- b.counters()
+		case f := <-b.requested:
+			f()
 		}
 		t := b.clock()
 		b.next = b.now + time.Second
@@ -186,11 +206,12 @@
 		b.decide()
 		b.lease.report(b)
 		if b.finished() {
-			b.box.Flush(t)
+			b.flush(t)
+			b.settle()
 			b.log.Info("left", "counters", b.counters())
 			return nil
 		}
-		if again := b.box.Flush(t); again > 0 {
+		if again := b.flush(t); again > 0 {
 			b.at(b.now + again)
 		}
 		timer.Reset(max(0, b.next-time.Since(b.start)))
@@ -208,7 +229,7 @@
 // clock takes the time of this turn, from both clocks at one moment.
 func (b *Backend) clock() time.Time {
 	t := time.Now()
-	b.now, b.unix = t.Sub(b.start), t.UnixMilli()
+	b.now, b.unix, b.wall = t.Sub(b.start), t.UnixMilli(), time.Duration(t.UnixNano())
 	return t
 }
 
@@ -241,6 +262,7 @@
 		b.tidyAt = b.now + tidyEvery
 		b.front.tidy()
 		b.keys.tidy()
+		b.audit()
 	}
 	b.at(b.tidyAt)
 	if b.leaving && b.now < b.stopAt-closeBefore {
@@ -293,6 +315,9 @@
 		invariant.Check(e.cut || e.p.Open() >= len(e.open)+len(e.checks), "open slots are known to the parser")
 	}
 	invariant.Check(owed == b.owed && owed == slots, "held and running reqs are those owed, each on one slot")
+	b.compare()
+	b.book.Audit(b.wall)
+	b.tellDifferences()
 	invariant.Check(calls == len(b.tier.calls), "calls in hand are those of reqs")
 	invariant.Check(float64(b.keys.kept) <= b.share(keptShare), "kept results stay within their bound")
 }
--- a/backend/config.go
+++ b/backend/config.go
@@ -27,6 +27,7 @@
 	Stop      time.Duration // from the notice to leave until the process is ended
 	Limits    Limits
 	Settings  map[string]any // in the module's names
+	Figures   Figures        // of the operator
 }
 
 // Limits are those of the process.
--- a/backend/counters.go
+++ b/backend/counters.go
@@ -3,20 +3,23 @@
 import (
 	"log/slog"
 
+	"frosthub/account"
 	"frosthub/internal/seldom"
 )
 
 // Counters tell what a backend has taken in, sent and answered since its start.
 type Counters struct {
 	Conns, ConnsRefused, ConnsClosed, ConnsTrimmed int64
-	Reqs, Checks, BadReqs, BadConns                int64
-	Done, Shed, Errored, Gone                      int64
+	Checks, BadReqs, BadConns                      int64
 	Begun, Stopped, Ended, Asked                   int64
 	Calls, CallsOK, CallsFailed                    int64
 	Links, LinksLost, Rejects, Remarks, Repeated   int64
 	Reports, Batches, Events, GaugesLate, Reloads  int64
 	Open, Owed                                     int64 // now: connections, reqs without their answer
 	Broken                                         int64 // invariants found broken
+
+	Reqs    account.Figures // over all lives that the figures file knows, of this process without one
+	Differs int64           // figures found that do not add up
 }
 
 // LogValue prints the counters in groups.
@@ -24,8 +27,8 @@
 	return slog.GroupValue(
 		slog.Group("conns", "taken", c.Conns, "no_room", c.ConnsRefused, "closed", c.ConnsClosed, "trimmed",
 			c.ConnsTrimmed, "bad", c.BadConns, "open", c.Open),
-		slog.Group("reqs", "taken", c.Reqs, "bad", c.BadReqs, "checks", c.Checks, "done", c.Done, "shed", c.Shed,
-			"errored", c.Errored, "gone", c.Gone, "owed", c.Owed),
+		slog.Group("reqs", "taken", c.Reqs.Taken, "served", c.Reqs.Served, "refused", c.Reqs.Refused, "failed",
+			c.Reqs.Failed, "open", c.Reqs.Open, "differs", c.Differs, "owed", c.Owed, "bad", c.BadReqs, "checks", c.Checks),
 		slog.Group("runs", "begun", c.Begun, "stopped", c.Stopped, "ended", c.Ended, "repeated", c.Repeated),
 		slog.Group("calls", "asked", c.Asked, "made", c.Calls, "ok", c.CallsOK, "failed", c.CallsFailed),
 		slog.Group("link", "made", c.Links, "lost", c.LinksLost, "rejects", c.Rejects, "remarks", c.Remarks,
--- /dev/null
+++ b/backend/figures.go
@@ -0,0 +1,132 @@
+package backend
+
+import (
+	"time"
+
+	"frosthub/account"
+	"frosthub/internal/figures"
+	"frosthub/internal/invariant"
+)
+
+const (
+	compareEvery = 10 * time.Second // between looks whether the book and the core take the same reqs for open
+	startPatient = 2 * time.Second  // for a disk that keeps the figures file; then the box serves without it
+)
+
+// Figures says how the accounts are kept. The zero value keeps the figures of the process in memory.
+type Figures struct {
+	File          string        // that outlives the process; empty: none
+	Trail         int           // ops that it holds; figures.OpsUsual if 0
+	Periods       int           // kept of the past; 0 none
+	Every         time.Duration // of a period
+	Customers     int           // told apart
+	CustomerField string        // the header that names a customer; empty: the edge node's number does
+}
+
+// openBook makes the book of the accounts, with those of earlier lives where a file has them. Trouble with the file
+// is told, and costs the file alone.
+func (b *Backend) openBook() error {
+	cfg := account.Config{Customers: b.cfg.Figures.Customers, Periods: b.cfg.Figures.Periods, Every: b.cfg.Figures.Every}
+	for _, h := range b.handlers {
+		cfg.Handlers = append(cfg.Handlers, h.name)
+	}
+	book, err := account.New(cfg)
+	if err != nil {
+		return err
+	}
+	b.clock()
+	if b.cfg.Figures.File == "" {
+		book.Begin(b.wall, 0)
+	} else {
+		b.record = figures.NewRecorder(b.cfg.Figures.File, b.cfg.Figures.Trail, b.log)
+		book = b.record.Open(book, cfg, b.wall, startPatient)
+	}
+	b.book = book
+	b.rows = nil
+	for _, h := range b.handlers {
+		b.rows = append(b.rows, book.Handler(h.name))
+	}
+	return nil
+}
+
+// rowOf is the handler's row in the book, that of none for one that is not known.
+func (b *Backend) rowOf(h int) uint16 {
+	if h < 0 {
+		return 0
+	}
+	return b.rows[h]
+}
+
+// flush sends what was written, and has the record say before and after which answers may have left.
+func (b *Backend) flush(t time.Time) time.Duration {
+	if b.record == nil {
+		return b.box.Flush(t)
+	}
+	if b.book.Answering() > 0 {
+		b.book.Flush(b.wall, true)
+	}
+	b.record.Append(b.book, b.wall)
+	again := b.box.Flush(t)
+	b.book.Flush(b.wall, false)
+	b.record.Append(b.book, b.wall)
+	return again
+}
+
+// audit has the book look whether its figures add up, and tells what does not.
+func (b *Backend) audit() {
+	b.book.Audit(b.wall)
+	if b.now >= b.compareAt {
+		b.compareAt = b.now + compareEvery
+		b.compare()
+	}
+	b.tellDifferences()
+}
+
+// compare holds the book against the core's own tables.
+func (b *Backend) compare() {
+	b.book.Compare(b.wall, func(have func(account.Ticket, uint64)) {
+		for _, r := range b.reqs { // a sum: the order does not matter
+			if b.owes(r) {
+				have(r.ticket, r.id)
+			}
+		}
+		for e := range b.front.edges {
+			for _, a := range e.out {
+				have(a.ticket, a.id)
+			}
+		}
+	})
+}
+
+func (b *Backend) tellDifferences() {
+	for _, d := range b.book.Found() {
+		b.log.Error("figures differ", "what", d.What, "one", d.Left, "other", d.Right, "trail", d.Trail)
+		invariant.Check(false, "figures add up: "+d.What)
+	}
+}
+
+// settle closes the accounts of a process that ends by itself.
+func (b *Backend) settle() {
+	b.book.Settle(account.CutByStop, account.Left)
+	if b.record != nil {
+		b.record.Close(b.book, b.wall)
+	}
+}
+
+// Figures gives the accounts of all reqs, while Serve runs and after it.
+func (b *Backend) Figures() account.Report {
+	var out account.Report
+	b.ask(func() {
+		if b.book != nil { // Serve got that far
+			out = b.book.Report(false)
+		}
+	})
+	return out
+}
+
+// FiguresRecorded tells whether the figures are being recorded, or need not be.
+func (b *Backend) FiguresRecorded() bool {
+	up := true
+	b.ask(func() { up = b.record == nil || b.record.Up() })
+	return up
+}
--- a/backend/front.go
+++ b/backend/front.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"frosthub/account"
 	"frosthub/internal/conn"
 	"frosthub/internal/fastcgi"
 	"frosthub/internal/lines"
@@ -42,6 +43,8 @@
 	b     *Backend
 	edges map[*edge]struct{}
 	parts int // bytes of reqs that are not yet whole, of all
+
+	customerField string // the parameter that names the customer; one that can't be, where none does
 }
 
 // edge is one connection of an edge node.
@@ -57,6 +60,14 @@
 	known  bool          // one of its reqs was known to the processor
 	rested bool          // it keeps no memory
 	cut    bool          // closed here; its end is still to be told
+	out    []answer      // final answers that are not yet handed to the system, in order
+}
+
+// answer is a final answer on its way.
+type answer struct {
+	mark   int // bytes of the connection that have left when its last one has
+	ticket account.Ticket
+	id     uint64
 }
 
 // idle tells whether nothing is open and nothing waits to be sent.
@@ -69,7 +80,12 @@
 	keep bool
 }
 
-func (f *front) init(b *Backend) { f.b, f.edges = b, map[*edge]struct{}{} }
+func (f *front) init(b *Backend) {
+	f.b, f.edges, f.customerField = b, map[*edge]struct{}{}, "\x00"
+	if name := b.cfg.Figures.CustomerField; name != "" { // as CGI names a header
+		f.customerField = "HTTP_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+	}
+}
 
 // room is how many connections there may be in all when one more is accepted: calls always find theirs.
 func (f *front) room() int { return f.b.cfg.Limits.Sockets - spare - f.b.tier.room() }
@@ -80,6 +96,7 @@
 	f.edges[e] = struct{}{}
 	b.count.Conns++
 	c.Most = outMost
+	c.Left = func() { f.left(e) }
 	c.Data = func(p []byte) error {
 		if e.cut {
 			return nil
@@ -105,6 +122,30 @@
 		for _, slot := range slices.Sorted(maps.Keys(e.open)) { // the same bytes lead to the same decisions
 			b.gone(e.open[slot], overload.BrokenOff)
 		}
+		for _, a := range e.out {
+			b.book.Close(b.wall, a.ticket, account.Undelivered)
+		}
+		e.out = nil
+	}
+}
+
+// left closes the accounts of the answers whose last byte was handed to the system.
+func (f *front) left(e *edge) {
+	n := 0
+	for n < len(e.out) && e.out[n].mark <= e.c.Sent() {
+		f.b.book.Sent(f.b.wall, e.out[n].ticket)
+		n++
+	}
+	e.out = slices.Delete(e.out, 0, n)
+	if len(e.out) == 0 && cap(e.out) > fastcgi.OpenMost {
+		e.out = nil // a burst is over
+	}
+}
+
+// owe has the account of a req follow the answer that was just written.
+func (f *front) owe(e *edge, t account.Ticket, id uint64, why account.Reason) {
+	if f.b.book.Answer(f.b.wall, t, why) {
+		e.out = append(e.out, answer{e.c.Mark(), t, id})
 	}
 }
 
@@ -129,11 +170,21 @@
 }
 
 // bad answers a req that can't be taken. Who goes on with such is closed: it would begin again at once.
-func (f *front) bad(e *edge, slot uint16, keep bool, status, why string) {
+func (f *front) bad(e *edge, slot uint16, keep bool, t account.Ticket, id uint64, reason account.Reason, why string) {
 	f.b.count.BadReqs++
 	f.b.note("bad req", "why", why)
 	e.bad++
+	status := "400 Bad Request"
+	if reason == account.NoHandler {
+		status = "404 Not Found"
+	}
 	f.answer(e, slot, keep && e.bad < badMost, status, nil, nil)
+	f.owe(e, t, id, reason)
+}
+
+// nameless takes a req of which neither id nor handler is known.
+func (f *front) nameless() account.Ticket {
+	return f.b.book.Open(f.b.wall, 0, 0, account.FastCGI, account.Name{})
 }
 
 func (f *front) message(e *edge, m fastcgi.Message) {
@@ -143,7 +194,7 @@
 	case fastcgi.Request:
 		f.request(e, m)
 	case fastcgi.Bad:
-		f.bad(e, m.Slot, false, "400 Bad Request", "too large, or without its parameters")
+		f.bad(e, m.Slot, false, f.nameless(), 0, account.BadFields, "too large, or without its parameters")
 	case fastcgi.Abort:
 		if r := e.open[m.Slot]; r != nil {
 			delete(e.open, m.Slot)
@@ -154,7 +205,12 @@
 	case fastcgi.Refuse:
 		b.count.BadReqs++
 		b.note("bad req", "why", "role or number of open reqs", "status", m.Status)
+		t, why := f.nameless(), account.Role
+		if m.Status == fastcgi.Overloaded {
+			why = account.Slots
+		}
 		f.end(e, m.Slot, m.Keep, m.Status)
+		f.owe(e, t, 0, why)
 	case fastcgi.Reply:
 		e.c.Write(m.Body)
 	}
@@ -173,6 +229,7 @@
 		return n
 	}
 	started, hasStart := 0.0, false
+	var customer account.Name
 	whole := fastcgi.Each(m.Params, func(name, v []byte) {
 		switch string(name) {
 		case "SCRIPT_NAME":
@@ -189,6 +246,9 @@
 			if ev.Caller = int(n); float64(ev.Caller) != n {
 				why = "a field is no number in its range"
 			}
+			if b.cfg.Figures.CustomerField == "" {
+				customer = account.NameOf(v)
+			}
 		case "HTTP_X_COST_MS":
 			ev.Hint = time.Duration(number(v, 1e9) * float64(time.Millisecond))
 		case "HTTP_X_MEMORY_KB":
@@ -197,6 +257,8 @@
 			ev.Rank = number(v, 1)
 		case "HTTP_X_OBJECT":
 			ev.Subject = string(v)
+		case f.customerField:
+			customer = account.NameOf(v)
 		}
 	})
 	if whole && path == "/_health" {
@@ -205,12 +267,12 @@
 	}
 	name, isInvoke := strings.CutPrefix(path, "/invoke/")
 	r.h = slices.IndexFunc(b.handlers, func(h handler) bool { return h.name == name })
-	status := "400 Bad Request"
+	reason := account.BadFields
 	switch {
 	case !whole:
 		why = "parameters cut short"
 	case !isInvoke || r.h < 0:
-		why, status = "unknown handler", "404 Not Found"
+		why, reason = "unknown handler", account.NoHandler
 	case why != "":
 	case r.id == 0:
 		why = "no id of 16 hex digits"
@@ -222,15 +284,19 @@
 	case b.reqs[r.id] != nil:
 		why = "an id that is in use"
 	}
+	r.ticket = b.book.Open(b.wall, r.id, b.rowOf(r.h), account.FastCGI, customer)
 	if why != "" {
-		f.bad(e, m.Slot, m.Keep, status, why)
+		f.bad(e, m.Slot, m.Keep, r.ticket, r.id, reason, why)
 		return
 	}
-	b.count.Reqs++
 	unread := max(0, time.Duration(b.unix-int64(started))*time.Millisecond)
 	if b.ctl == nil || unread > b.handlers[r.h].timeout { // nobody waits; so old a start would tell of a standstill
-		b.count.Shed++
+		reason = account.Aged
+		if b.ctl == nil {
+			reason = account.NotReady
+		}
 		f.answer(e, m.Slot, m.Keep, "503 Service Unavailable", nil, nil)
+		f.owe(e, r.ticket, r.id, reason)
 		return
 	}
 	ev.ID, ev.Handler, ev.Unread = r.id, r.h, unread
@@ -247,7 +313,7 @@
 // nobody knows is no edge node.
 func (f *front) unknown(r *req) {
 	delete(r.edge.open, r.slot)
-	f.bad(r.edge, r.slot, false, "400 Bad Request", "no req of this machine")
+	f.bad(r.edge, r.slot, false, r.ticket, r.id, account.Stranger, "no req of this machine")
 	f.b.answered(r)
 }
 
@@ -286,12 +352,14 @@
 	f.answer(e, slot, keep, "503 Service Unavailable", nil, nil)
 }
 
-func (f *front) done(r *req, result []byte) {
+func (f *front) done(r *req, why account.Reason, result []byte) {
 	r.edge.bad = 0
-	f.final(r, "200 OK", nil, result)
+	f.final(r, why, "200 OK", nil, result)
 }
 
-func (f *front) errored(r *req) { f.final(r, "500 Internal Server Error", nil, nil) }
+func (f *front) errored(r *req, why account.Reason) {
+	f.final(r, why, "500 Internal Server Error", nil, nil)
+}
 
 func (f *front) shed(r *req, after time.Duration, dontRetry bool) {
 	var fields []byte
@@ -302,12 +370,13 @@
 	if dontRetry {
 		fields = append(fields, "X-Dont-Retry: 1\r\n"...)
 	}
-	f.final(r, "503 Service Unavailable", fields, nil)
+	f.final(r, account.Shed, "503 Service Unavailable", fields, nil)
 }
 
-func (f *front) final(r *req, status string, fields, body []byte) {
+func (f *front) final(r *req, why account.Reason, status string, fields, body []byte) {
 	delete(r.edge.open, r.slot)
 	f.answer(r.edge, r.slot, r.keep, status, fields, body)
+	f.owe(r.edge, r.ticket, r.id, why)
 }
 
 // answer writes a whole answer; the free value rides on each.
@@ -359,7 +428,7 @@
 		case !e.sent && b.now-e.since >= wholeMost:
 			f.cut(e, errPart)
 		case slot > 0: // its other reqs may be good
-			f.bad(e, slot, keep, "400 Bad Request", errPart.Error())
+			f.bad(e, slot, keep, f.nameless(), 0, account.NotWhole, errPart.Error())
 		case !e.idle():
 		case b.now-e.used >= keepFor:
 			b.count.ConnsTrimmed++
--- a/backend/keys.go
+++ b/backend/keys.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"frosthub/account"
 	"frosthub/overload"
 )
 
@@ -70,10 +71,10 @@
 		return
 	}
 	if e := k.byID[r.fore]; e != nil && e.ended {
-		k.b.ended(r, overload.OK, 0, e.result)
+		k.b.ended(r, overload.OK, account.Repeated, 0, e.result)
 		return
 	}
-	k.b.ended(r, overload.Errored, 0, nil)
+	k.b.ended(r, overload.Errored, account.Forerunner, 0, nil)
 }
 
 // ended follows the end of a forerunner, also of one that never ran: a good result is kept, those that wait get
@@ -94,9 +95,9 @@
 			continue // given up meanwhile
 		}
 		if how == overload.OK {
-			k.b.ended(r, overload.OK, 0, result)
+			k.b.ended(r, overload.OK, account.Repeated, 0, result)
 		} else {
-			k.b.ended(r, overload.Errored, 0, nil)
+			k.b.ended(r, overload.Errored, account.Forerunner, 0, nil)
 		}
 	}
 }
--- a/backend/link.go
+++ b/backend/link.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"frosthub/account"
 	"frosthub/internal/conn"
 	"frosthub/internal/processor"
 	"frosthub/overload"
@@ -266,7 +267,7 @@
 		l.hi(n)
 	case processor.Complete:
 		if r := b.reqs[n.ID]; r != nil {
-			b.ended(r, n.Outcome, n.Took, n.Body)
+			b.ended(r, n.Outcome, reasonOf(n.Outcome), n.Took, n.Body)
 		}
 	case processor.Ask:
 		if r := b.reqs[n.ID]; r != nil {
@@ -288,7 +289,7 @@
 			if b.owes(r) {
 				r.edge.known = false
 			}
-			b.ended(r, overload.Moot, 0, nil)
+			b.ended(r, overload.Moot, account.NeverRan, 0, nil)
 		}
 	case processor.Remark:
 		b.count.Remarks++
@@ -366,7 +367,7 @@
 	for _, r := range l.b.known() {
 		if r.at >= running && r.sent {
 			l.interrupt(r)
-			l.b.ended(r, overload.Errored, 0, nil)
+			l.b.ended(r, overload.Errored, account.ProcessorLost, 0, nil)
 		}
 	}
 }
@@ -387,7 +388,7 @@
 		switch {
 		case r.at < running:
 		case !r.sent && !b.owes(r):
-			b.ended(r, overload.Moot, 0, nil)
+			b.ended(r, overload.Moot, account.NeverRan, 0, nil)
 		case !r.sent:
 			l.begin(r)
 		case doubt && !r.seen && b.owes(r) && b.handlers[r.h].replayable && !r.stop:
@@ -416,7 +417,7 @@
 	l.probes--
 	r.probe, r.probeAt, r.stop = 0, 0, false
 	if !b.owes(r) {
-		b.ended(r, overload.Moot, 0, nil)
+		b.ended(r, overload.Moot, account.NeverRan, 0, nil)
 		return
 	}
 	b.count.Repeated++
--- a/backend/req.go
+++ b/backend/req.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"frosthub/account"
 	"frosthub/internal/invariant"
 	"frosthub/overload"
 )
@@ -28,9 +29,10 @@
 	body []byte
 	at   place
 
-	edge *edge // who waits for the answer; nil once it is given or nobody does
-	slot uint16
-	keep bool
+	ticket account.Ticket
+	edge   *edge // who waits for the answer; nil once it is given or nobody does
+	slot   uint16
+	keep   bool
 
 	sent, seen bool          // begin is written; something of the run was heard
 	mark       uint64        // the last question for gauges before the last command: one answered later proves it arrived
@@ -41,6 +43,7 @@
 	reply      []byte        // the reply, until more is heard of the run
 	replied    bool
 	call       *call
+	unserved   bool // its last call failed
 
 	ev      overload.Event // strange: its arrival
 	since   time.Duration  // and when that was
@@ -92,17 +95,18 @@
 		}
 	case overload.Shed:
 		if invariant.Check(r.at == held, "what is shed never ran") {
-			b.count.Shed++
 			b.front.shed(r, a.RetryAfter, a.DontRetry)
 		} else {
-			b.count.Errored++
-			b.front.errored(r)
+			b.front.errored(r, account.GivenUp)
 		}
 		b.answered(r)
 	case overload.Error:
 		if b.owes(r) {
-			b.count.Errored++
-			b.front.errored(r)
+			why := account.GivenUp
+			if r.at == asking && r.unserved {
+				why = account.CallFailed
+			}
+			b.front.errored(r, why)
 			b.answered(r)
 		} else if r.at >= asking {
 			b.endRun(r) // nobody waits, but the run does
@@ -143,7 +147,11 @@
 // gone follows the edge node's word that it no longer waits, or (BrokenOff) the end of its connection.
 func (b *Backend) gone(r *req, how overload.Outcome) {
 	b.owed--
-	b.count.Gone++
+	why := account.Aborted
+	if how == overload.BrokenOff {
+		why = account.ConnectionLost
+	}
+	b.book.Close(b.wall, r.ticket, why)
 	r.edge = nil
 	if r.at != strange {
 		b.events = append(b.events, overload.Event{Kind: overload.Gone, ID: r.id, Outcome: how})
@@ -167,8 +175,8 @@
 	b.link.interrupt(r)
 }
 
-// ended follows the end of a run; body is the result.
-func (b *Backend) ended(r *req, how overload.Outcome, took time.Duration, body []byte) {
+// ended follows the end of a run, why says how it is accounted for; body is the result.
+func (b *Backend) ended(r *req, how overload.Outcome, why account.Reason, took time.Duration, body []byte) {
 	if r.at != joined && r.at != held {
 		b.count.Ended++
 	}
@@ -178,11 +186,9 @@
 	}
 	if b.owes(r) {
 		if how == overload.OK {
-			b.count.Done++
-			b.front.done(r, body)
+			b.front.done(r, why, body)
 		} else {
-			b.count.Errored++
-			b.front.errored(r)
+			b.front.errored(r, why)
 		}
 		b.owed--
 		r.edge = nil
@@ -191,3 +197,16 @@
 	b.events = append(b.events, overload.Event{Kind: overload.Ended, ID: r.id, Outcome: how, Took: took})
 	b.keys.ended(r, how, body)
 }
+
+// reasonOf says how the end of a run is accounted for.
+func reasonOf(how overload.Outcome) account.Reason {
+	switch how {
+	case overload.OK:
+		return account.Ran
+	case overload.Stopped:
+		return account.RunStopped
+	case overload.Moot:
+		return account.NeverRan
+	}
+	return account.RunFailed
+}
--- a/backend/tier.go
+++ b/backend/tier.go
@@ -235,6 +235,7 @@
 	b := t.b
 	r := k.r
 	t.letGo(k)
+	r.unserved = how != overload.OK
 	if how == overload.OK {
 		b.count.CallsOK++
 		r.at = running
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -116,9 +116,16 @@
 		})
 	case "counters":
 		c := s.b.Counters()
-		s.print("counters", "reqs %d, done %d, shed %d, errored %d, gone %d, owed %d, bad reqs %d, bad connections %d, "+
-			"begun %d, ended %d, repeated %d, rejects %d, remarks %d, broken %d", c.Reqs, c.Done, c.Shed, c.Errored, c.Gone,
-			c.Owed, c.BadReqs, c.BadConns, c.Begun, c.Ended, c.Repeated, c.Rejects, c.Remarks, c.Broken)
+		s.print("counters", "taken %d = served %d + refused %d + failed %d + open %d, differs %d, owed %d, bad connections %d, "+
+			"begun %d, ended %d, repeated %d, rejects %d, remarks %d, broken %d", c.Reqs.Taken, c.Reqs.Served, c.Reqs.Refused,
+			c.Reqs.Failed, c.Reqs.Open, c.Differs, c.Owed, c.BadConns, c.Begun, c.Ended, c.Repeated, c.Rejects, c.Remarks, c.Broken)
+		reasons := map[string]int64{}
+		for _, row := range s.b.Figures().Rows {
+			for why, n := range row.Reasons {
+				reasons[why] += n
+			}
+		}
+		s.print("counters", "reasons %v", reasons)
 	case "processor", "tier", "old":
 		p := map[string]*peer{"processor": s.processor, "tier": s.tier}[w[0]]
 		if w[0] == "old" { // the stand-ins before they moved
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -44,6 +44,7 @@
 type Conn struct {
 	Data   func(p []byte) error // each stretch that was read; an error closes the connection
 	Closed func(err error)      // once, after the last Data
+	Left   func()               // during a Flush in which bytes were handed to the system
 	Most   int                  // bytes that may wait for a peer that takes none; more closes the connection
 
 	box     *Inbox
@@ -206,12 +207,12 @@
 	b.dirty = b.dirty[:0]
 	keep := b.stalled[:0]
 	for _, c := range b.stalled {
-		if c.send(now) {
+		if c.flush(now) {
 			keep = append(keep, c)
 		}
 	}
 	for _, c := range dirty {
-		if c.dirty && c.send(now) { // a stalled one was sent above
+		if c.dirty && c.flush(now) { // a stalled one was sent above
 			keep = append(keep, c)
 		}
 	}
@@ -236,6 +237,15 @@
 // Stalled is the number of peers that left something of what was sent.
 func (b *Inbox) Stalled() int { return len(b.stalled) }
 
+func (c *Conn) flush(now time.Time) (left bool) {
+	before := c.sent
+	left = c.send(now)
+	if c.sent > before && c.Left != nil {
+		c.Left()
+	}
+	return left
+}
+
 // send writes to the descriptor, and tells whether the peer left something.
 func (c *Conn) send(now time.Time) bool {
 	c.dirty = false
--- /dev/null
+++ b/internal/figures/file.go
@@ -0,0 +1,364 @@
+// Package figures keeps a book of accounts in a mapped file, so that it outlives the process however that ends: what
+// was stored in the map is the system's, not the process's. The format is told in docs/notes/figures.md.
+package figures
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"frosthub/account"
+)
+
+const (
+	magic      = "FROSTFIG"
+	newMark    = ".new-" // in the name of a file that holds no book yet
+	version    = 1
+	headLen    = 4096
+	snapHead   = 16       // length, checksum and room
+	periodHead = 16       // number, length, checksum
+	sparePer   = 8        // places of periods beyond those kept: what an older snapshot needs is not written over
+	openSpare  = 4096     // open reqs that a snapshot has room for beyond those of now
+	fileMost   = 1 << 30  // bytes of a file that is read: far beyond any that is written
+	OpsUsual   = 8192     // ops in the ring where nothing is said: half a megabyte
+	OpsLeast   = 256      // below it the book would be written down more often than the ops
+	opsMost    = 1 << 20  // 64 MB
+	snapMost   = 64 << 20 // bytes of a snapshot
+)
+
+// Errors of files.
+var (
+	ErrForeign = errors.New("no figures file")
+	ErrVersion = errors.New("a figures file of another version")
+	ErrDamaged = errors.New("a damaged figures file")
+	ErrBusy    = errors.New("another process holds it")
+	ErrGone    = errors.New("it was removed or replaced")
+	ErrFull    = errors.New("the book has outgrown it")
+	ErrFault   = errors.New("the mapped file can't be written to")
+)
+
+// layout is where the parts of a file stand.
+type layout struct {
+	ops, snap, period, places int // how many ops; room of a snapshot, of a period; how many periods
+}
+
+func (l layout) opAt(seq uint64) int { return headLen + int(seq%uint64(l.ops))*account.OpSize }
+func (l layout) snapAt(i int) int    { return headLen + l.ops*account.OpSize + i*l.snap }
+func (l layout) periodAt(n uint64) int {
+	return l.snapAt(2) + int(n%uint64(max(1, l.places)))*l.period
+}
+func (l layout) size() int { return l.snapAt(2) + l.places*l.period }
+
+func (l layout) sound() bool {
+	return l.ops >= OpsLeast && l.ops <= opsMost && l.snap > snapHead && l.snap <= snapMost && l.period >= 0 &&
+		l.period <= snapMost && l.places >= 0 && l.places <= 1<<16 && l.size() <= fileMost
+}
+
+// layoutOf is the one for such a book.
+func layoutOf(b *account.Book, ops, periods int) layout {
+	const page = 4096
+	up := func(n int) int { return (n + page - 1) / page * page }
+	l := layout{ops: ops, snap: up(snapHead + b.SnapshotSize(int(b.Total().Open)+openSpare))}
+	if periods > 0 {
+		l.period, l.places = periodHead+b.PeriodSize(), periods+sparePer
+	}
+	return l
+}
+
+func (l layout) put(b []byte) {
+	le := binary.LittleEndian
+	copy(b, magic)
+	for i, v := range [...]int{version, l.ops, l.snap, l.period, l.places} {
+		le.PutUint32(b[8+4*i:], uint32(v))
+	}
+	le.PutUint32(b[28:], account.Checksum(b[:28]))
+}
+
+func (l *layout) get(b []byte) error {
+	le := binary.LittleEndian
+	switch {
+	case len(b) < 12 || string(b[:8]) != magic:
+		return ErrForeign
+	case le.Uint32(b[8:]) != version:
+		return fmt.Errorf("%w: %d, this program reads %d", ErrVersion, le.Uint32(b[8:]), version)
+	case len(b) < headLen || le.Uint32(b[28:]) != account.Checksum(b[:28]):
+		return fmt.Errorf("%w: its header", ErrDamaged)
+	}
+	for i, v := range [...]*int{&l.ops, &l.snap, &l.period, &l.places} {
+		*v = int(le.Uint32(b[12+4*i:]))
+	}
+	if !l.sound() || len(b) != l.size() {
+		return fmt.Errorf("%w: %d bytes, not as its header says", ErrDamaged, len(b))
+	}
+	return nil
+}
+
+// Read has the book that the bytes of a file hold: its newest whole snapshot, and the ops that followed it.
+func Read(data []byte) (*account.Book, error) {
+	var l layout
+	if err := l.get(data); err != nil {
+		return nil, err
+	}
+	le := binary.LittleEndian
+	var book *account.Book
+	var why error
+	for i := range 2 {
+		at := l.snapAt(i)
+		n := le.Uint64(data[at:])
+		if n == 0 {
+			continue // not written yet
+		}
+		if n > uint64(l.snap-snapHead) || le.Uint32(data[at+8:]) != account.Checksum(data[at+snapHead:at+snapHead+int(n)]) {
+			why = fmt.Errorf("%w: a snapshot", ErrDamaged)
+			continue // being written when the process ended
+		}
+		b, err := account.Restore(data[at+snapHead:at+snapHead+int(n)], func(n uint64) []byte { return periodIn(data, l, n) })
+		if err != nil {
+			why = fmt.Errorf("%w: %w", ErrDamaged, err)
+			continue
+		}
+		if book == nil || b.Seq() > book.Seq() {
+			book = b
+		}
+	}
+	if book == nil {
+		if why == nil {
+			why = fmt.Errorf("%w: it holds no snapshot", ErrDamaged)
+		}
+		return nil, why
+	}
+	for {
+		var op account.Op
+		at := l.opAt(book.Seq() + 1)
+		if !op.Get(data[at:at+account.OpSize]) || op.Seq != book.Seq()+1 {
+			break
+		}
+		if err := book.Apply(op); err != nil {
+			return nil, fmt.Errorf("%w: op %d: %w", ErrDamaged, op.Seq, err)
+		}
+	}
+	book.Rested()
+	for k := range l.ops {
+		var op account.Op
+		at := headLen + k*account.OpSize
+		if op.Get(data[at:at+account.OpSize]) && op.Seq > book.Seq() {
+			return book, fmt.Errorf("%w: ops after %d are missing", ErrDamaged, book.Seq())
+		}
+	}
+	return book, nil
+}
+
+func periodIn(data []byte, l layout, number uint64) []byte {
+	if l.places == 0 {
+		return nil
+	}
+	le := binary.LittleEndian
+	p := data[l.periodAt(number):][:l.period]
+	n := int(le.Uint32(p[8:]))
+	if le.Uint64(p) != number || n > l.period-periodHead || le.Uint32(p[12:]) != account.Checksum(p[periodHead:periodHead+n]) {
+		return nil
+	}
+	return p[periodHead : periodHead+n]
+}
+
+// Trail gives the ops that a file still holds, in order.
+func Trail(data []byte) ([]account.Op, error) {
+	var l layout
+	if err := l.get(data); err != nil {
+		return nil, err
+	}
+	last := uint64(0)
+	bySeq := map[uint64]account.Op{}
+	for k := range l.ops {
+		var op account.Op
+		at := headLen + k*account.OpSize
+		if op.Get(data[at : at+account.OpSize]) {
+			bySeq[op.Seq] = op
+			last = max(last, op.Seq)
+		}
+	}
+	var out []account.Op
+	for seq := last; ; seq-- {
+		op, ok := bySeq[seq]
+		if !ok {
+			break
+		}
+		out = append(out, op)
+	}
+	for i, j := 0, len(out)-1; i < j; i, j = i+1, j-1 {
+		out[i], out[j] = out[j], out[i]
+	}
+	return out, nil
+}
+
+// ReadFile reads a file that may be in use: one that was changed meanwhile is read again.
+func ReadFile(path string) (b *account.Book, data []byte, err error) {
+	for range 5 {
+		if data, err = os.ReadFile(path); err != nil {
+			return nil, nil, err
+		}
+		if b, err = Read(data); err == nil {
+			return b, data, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return b, data, err
+}
+
+// file is one that is written to.
+type file struct {
+	layout
+	path string
+	tmp  string // its name before it holds a book
+	data []byte
+	info os.FileInfo
+	snap int    // the area that the next snapshot goes to
+	at   uint64 // the op of the last snapshot
+	next uint64 // the first period that is not written
+	buf  []byte
+}
+
+// create makes a file with room for such a book and puts it in the place of the one before; nothing is in it yet.
+// The room is taken on the disk at once: a full one is an error here and not a fault later.
+func create(path string, l layout) (f *file, err error) {
+	if !l.sound() {
+		return nil, ErrFull
+	}
+	tmp, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+newMark+"*")
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		_ = tmp.Close()
+		if err != nil {
+			_ = os.Remove(tmp.Name())
+		}
+	}()
+	if err = unix.Fallocate(int(tmp.Fd()), 0, 0, int64(l.size())); err != nil {
+		return nil, fmt.Errorf("room of %d bytes: %w", l.size(), err)
+	}
+	data, err := unix.Mmap(int(tmp.Fd()), 0, l.size(), unix.PROT_READ|unix.PROT_WRITE, unix.MAP_SHARED|unix.MAP_POPULATE)
+	if err != nil {
+		return nil, fmt.Errorf("mapping it: %w", err)
+	}
+	f = &file{layout: l, path: path, tmp: tmp.Name(), data: data}
+	l.put(data)
+	if f.info, err = tmp.Stat(); err == nil {
+		err = tmp.Chmod(0o640)
+	}
+	if err != nil {
+		f.unmap()
+		return nil, err
+	}
+	return f, nil
+}
+
+// publish gives the file its name, once it holds a book.
+func (f *file) publish() error {
+	if err := unix.Msync(f.data, unix.MS_SYNC); err != nil {
+		return err
+	}
+	return os.Rename(f.tmp, f.path)
+}
+
+// removeLeft removes what an earlier life did not get to publish. The lock is held.
+func removeLeft(path string) {
+	names, _ := filepath.Glob(path + newMark + "*") // only a bad pattern is an error
+	for _, name := range names {
+		_ = os.Remove(name)
+	}
+}
+
+func (f *file) unmap() {
+	if f.data != nil {
+		_ = unix.Munmap(f.data)
+		f.data = nil
+	}
+}
+
+// guarded calls do with faults of the map as errors: a file that was cut short, a disk that fails.
+func guarded(do func() error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if r := recover(); r != nil {
+			if _, fault := r.(interface{ Addr() uintptr }); !fault {
+				panic(r)
+			}
+			err = fmt.Errorf("%w: %v", ErrFault, r)
+		}
+	}()
+	return do()
+}
+
+// append writes ops, closed periods, and a snapshot when it is time.
+func (f *file) append(b *account.Book) error {
+	first, next := b.Periods()
+	rolled := f.places > 0 && next > f.next
+	b.Drain(func(ops []account.Op) {
+		if len(ops) > f.ops/4 {
+			f.at = 0 // more than the ring may hold beside a snapshot: those of one batch never are
+		}
+		for i := range ops {
+			ops[i].Put(f.data[f.opAt(ops[i].Seq):][:account.OpSize])
+		}
+	})
+	if rolled {
+		for n := max(first, f.next); n < next; n++ {
+			f.putPeriod(n, b.PeriodData(n))
+		}
+		f.next = next
+	}
+	if rolled || b.Seq()-f.at > uint64(f.ops/4) {
+		return f.checkpoint(b)
+	}
+	return nil
+}
+
+func (f *file) putPeriod(number uint64, data []byte) {
+	le := binary.LittleEndian
+	p := f.data[f.periodAt(number):][:f.period]
+	copy(p[periodHead:], data)
+	le.PutUint64(p, number)
+	le.PutUint32(p[8:], uint32(len(data)))
+	le.PutUint32(p[12:], account.Checksum(data))
+}
+
+// checkpoint writes the book down in the older of the two areas.
+func (f *file) checkpoint(b *account.Book) error {
+	f.buf = b.AppendSnapshot(f.buf[:0])
+	if len(f.buf) > f.layout.snap-snapHead {
+		return ErrFull
+	}
+	le := binary.LittleEndian
+	p := f.data[f.snapAt(f.snap):][:f.layout.snap]
+	le.PutUint64(p, uint64(len(f.buf)))
+	le.PutUint32(p[8:], account.Checksum(f.buf))
+	copy(p[snapHead:], f.buf)
+	f.snap, f.at = 1-f.snap, b.Seq()
+	return nil
+}
+
+// start writes a book into a new file: all its closed periods and a snapshot. Ops since the last drain are in it.
+func (f *file) start(b *account.Book) error {
+	b.Drain(func([]account.Op) {})
+	if f.places > 0 {
+		first, next := b.Periods()
+		for n := first; n < next; n++ {
+			f.putPeriod(n, b.PeriodData(n))
+		}
+		f.next = next
+	}
+	return f.checkpoint(b)
+}
+
+// same tells whether the file still stands under its name.
+func (f *file) same() bool {
+	info, err := os.Stat(f.path)
+	return err == nil && os.SameFile(info, f.info)
+}
--- /dev/null
+++ b/internal/figures/recorder.go
@@ -0,0 +1,287 @@
+package figures
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"os"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"frosthub/account"
+)
+
+const (
+	lookEvery  = 10 * time.Second // between looks whether the file is still there
+	retryEvery = 5 * time.Second  // between tries to make one anew after trouble
+)
+
+// Recorder keeps a book in a file. Its methods belong to the owner of the book; none but Open waits for a disk. When the
+// file fails, the book goes on in memory, the trouble is told, and a new file is made in the background.
+type Recorder struct {
+	path    string
+	ops     int
+	log     *slog.Logger
+	periods int
+
+	file   *file
+	lock   *os.File
+	busy   bool     // something runs in the background
+	news   chan any // its result: *file, error, or nil for a file that is where it was
+	nextAt time.Duration
+	off    bool // for the rest of this life
+}
+
+// NewRecorder prepares one for a file with a ring of so many ops, OpsUsual if 0.
+func NewRecorder(path string, ops int, log *slog.Logger) *Recorder {
+	if ops == 0 {
+		ops = OpsUsual
+	}
+	return &Recorder{path: path, ops: min(max(ops, OpsLeast), opsMost), log: log, news: make(chan any, 1)}
+}
+
+// opened is what opening a file brings.
+type opened struct {
+	book *account.Book
+	file *file
+	lock *os.File
+	errs []error
+	kept string // where a file that could not be read was put
+}
+
+// Open takes the file and gives the book to go on with: that of earlier lives with a new one begun, or the fresh one. A
+// disk that does not answer within the time given costs the record of this life.
+func (r *Recorder) Open(fresh *account.Book, cfg account.Config, at, patient time.Duration) *account.Book {
+	r.periods = cfg.Periods
+	done := make(chan opened, 1)
+	go func() { done <- open(r.path, r.ops, fresh, cfg, at) }()
+	timer := time.NewTimer(patient)
+	defer timer.Stop()
+	select {
+	case o := <-done:
+		for _, err := range o.errs {
+			r.log.Error("figures file", "file", r.path, "why", err, "kept_as", o.kept)
+		}
+		r.file, r.lock, r.off = o.file, o.lock, o.lock == nil
+		if o.book == nil {
+			fresh.Begin(at, boot())
+			o.book = fresh
+		}
+		o.book.KeepOps(r.file != nil)
+		if list, _, _ := o.book.Lives(); len(list) > 0 && r.file != nil {
+			r.log.Info("figures file", "file", r.path, "life", list[len(list)-1].Number)
+		}
+		return o.book
+	case <-timer.C:
+		r.log.Error("figures file", "file", r.path, "why", "the disk does not answer: this life is not recorded")
+		r.off = true
+		fresh.Begin(at, boot())
+		return fresh
+	}
+}
+
+func open(path string, ops int, fresh *account.Book, cfg account.Config, at time.Duration) (o opened) {
+	fail := func(err error) { o.errs = append(o.errs, err) }
+	lock, err := os.OpenFile(path+".lock", os.O_CREATE|os.O_RDWR, 0o640)
+	if err == nil {
+		if err = unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+			_ = lock.Close()
+			if errors.Is(err, unix.EWOULDBLOCK) {
+				err = ErrBusy
+			}
+		}
+	}
+	if err != nil {
+		fail(err)
+		return o
+	}
+	o.lock = lock
+	data, err := readAll(path)
+	if err == nil {
+		o.book, err = Read(data)
+		if err != nil && o.book != nil && rebooted(o.book) {
+			err = nil // a machine that went down keeps what was on its disk
+		}
+		if err == nil {
+			o.book, err = o.book.Renew(cfg, at, boot())
+		}
+		if err != nil {
+			o.book = nil
+			fail(err)
+			if o.kept, err = aside(path); err != nil {
+				fail(fmt.Errorf("keeping it aside: %w", err))
+				return o
+			}
+		}
+	} else if !errors.Is(err, fs.ErrNotExist) {
+		fail(err)
+		return o
+	}
+	if o.book == nil {
+		fresh.Begin(at, boot())
+		o.book = fresh
+	}
+	removeLeft(path)
+	f, err := create(path, layoutOf(o.book, ops, cfg.Periods))
+	if err == nil {
+		if err = guarded(func() error { return f.start(o.book) }); err == nil {
+			err = f.publish()
+		}
+	}
+	if err != nil {
+		fail(err)
+		return o
+	}
+	o.file = f
+	return o
+}
+
+func readAll(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if !info.Mode().IsRegular() || info.Size() > fileMost {
+		return nil, ErrForeign
+	}
+	return os.ReadFile(path)
+}
+
+// aside renames a file that can't be read so that nothing of it is lost.
+func aside(path string) (string, error) {
+	for i := 1; ; i++ {
+		to := fmt.Sprintf("%s.bad-%d", path, i)
+		if _, err := os.Lstat(to); errors.Is(err, fs.ErrNotExist) {
+			return to, os.Rename(path, to)
+		} else if err != nil {
+			return "", err
+		}
+	}
+}
+
+// boot is when the machine started, by its clock.
+func boot() time.Duration {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return 0
+	}
+	return time.Duration(time.Now().Unix()-int64(info.Uptime)) * time.Second
+}
+
+func rebooted(b *account.Book) bool {
+	list, _, _ := b.Lives()
+	if len(list) == 0 {
+		return false
+	}
+	apart := boot() - list[len(list)-1].Boot
+	return apart > time.Minute || apart < -time.Minute
+}
+
+// Up tells whether the book is being recorded.
+func (r *Recorder) Up() bool { return r.file != nil }
+
+// Append records what has happened since the last call.
+func (r *Recorder) Append(b *account.Book, now time.Duration) {
+	if r.off {
+		return
+	}
+	select {
+	case n := <-r.news:
+		r.busy = false
+		r.heard(b, n, now)
+	default:
+	}
+	if r.file != nil {
+		if err := guarded(func() error { return r.file.append(b) }); err != nil {
+			r.lost(b, err, now)
+		}
+	}
+	if r.busy || now < r.nextAt && now > r.nextAt-2*lookEvery {
+		return
+	}
+	r.busy = true
+	if f := r.file; f != nil {
+		r.nextAt = now + lookEvery
+		go func() {
+			if f.same() {
+				r.news <- nil
+			} else {
+				r.news <- ErrGone
+			}
+		}()
+		return
+	}
+	r.nextAt = now + retryEvery
+	path, l := r.path, layoutOf(b, r.ops, r.periods)
+	go func() {
+		removeLeft(path)
+		f, err := create(path, l)
+		if err != nil {
+			r.news <- err
+			return
+		}
+		r.news <- f
+	}()
+}
+
+// heard follows what the background has done.
+func (r *Recorder) heard(b *account.Book, news any, now time.Duration) {
+	switch n := news.(type) {
+	case *file:
+		err := guarded(func() error { return n.start(b) })
+		if err == nil {
+			r.file = n
+			b.KeepOps(true)
+			r.busy, r.nextAt = true, now+lookEvery
+			go func() { // its name is given off the owner
+				if err := n.publish(); err != nil {
+					r.news <- err
+					return
+				}
+				r.news <- nil
+				r.log.Info("figures file", "file", n.path, "made", "anew")
+			}()
+			return
+		}
+		n.unmap()
+		r.log.Error("figures file", "file", r.path, "why", err)
+	case error:
+		if r.file != nil {
+			r.lost(b, n, now)
+			return
+		}
+		r.log.Error("figures file", "file", r.path, "why", n, "again_in", retryEvery)
+	}
+}
+
+// lost goes on in memory.
+func (r *Recorder) lost(b *account.Book, err error, now time.Duration) {
+	r.log.Error("figures file", "file", r.path, "why", err, "again_in", retryEvery)
+	r.file.unmap()
+	r.file = nil
+	r.nextAt = now + retryEvery
+	b.KeepOps(false)
+}
+
+// Close writes the settled book down and lets go of the file.
+func (r *Recorder) Close(b *account.Book, now time.Duration) {
+	if r.file != nil {
+		if err := guarded(func() error {
+			if err := r.file.append(b); err != nil {
+				return err
+			}
+			return r.file.checkpoint(b)
+		}); err != nil {
+			r.log.Error("figures file", "file", r.path, "why", err)
+		}
+		r.file.unmap()
+		r.file = nil
+	}
+	if r.lock != nil {
+		_ = r.lock.Close()
+		r.lock = nil
+	}
+	r.off = true
+}
