Command line, operator's file, figures command and metrics endpoint

Cause: figures that nobody can read are of no use; the program had neither a command line nor a file of the operator's.

All off without the file.

--- a/account/reason.go
+++ b/account/reason.go
@@ -168,3 +168,13 @@
 	f.Taken++
 	f.Open++
 }
+
+// ReasonOf is the reason of that word, None if there is none.
+func ReasonOf(word string) Reason {
+	for r, m := range Meanings {
+		if m.Figure != 0 && m.Word == word {
+			return Reason(r)
+		}
+	}
+	return None
+}
--- a/account/report.go
+++ b/account/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -112,3 +113,54 @@
 	}
 	return doubted, others
 }
+
+// Check names the first figures of the report that do not add up, and says nothing if all do.
+func (r *Report) Check() string {
+	var byRow, byCustomer Figures
+	for _, x := range r.Rows {
+		byRow = byRow.Plus(x.Figures)
+		var n int64
+		for _, k := range x.Reasons {
+			n += k
+		}
+		if x.Figures.Taken != x.Figures.Sum() || n+x.Figures.Open != x.Figures.Taken {
+			return fmt.Sprintf("%s over %s: taken %d, reasons and open %d", x.Handler, x.Front, x.Figures.Taken, n+x.Figures.Open)
+		}
+	}
+	for _, c := range r.Customers {
+		byCustomer = byCustomer.Plus(c.Figures)
+	}
+	byLife := r.Earlier
+	for _, l := range r.Lives {
+		byLife = byLife.Plus(l.Figures)
+	}
+	for _, x := range []struct {
+		what        string
+		left, right int64
+	}{
+		{"taken and its parts", r.Total.Taken, r.Total.Sum()},
+		{"taken and its handlers", r.Total.Taken, byRow.Taken},
+		{"open and its handlers", r.Total.Open, byRow.Open},
+		{"taken and its customers", r.Total.Taken, byCustomer.Taken},
+		{"taken and its lives", r.Total.Taken, byLife.Taken},
+		{"served and its lives", r.Total.Served, byLife.Served},
+		{"refused and its lives", r.Total.Refused, byLife.Refused},
+		{"failed and its lives", r.Total.Failed, byLife.Failed},
+	} {
+		if x.left != x.right {
+			return fmt.Sprintf("%s: %d and %d", x.what, x.left, x.right)
+		}
+	}
+	if r.Differences > 0 {
+		return fmt.Sprintf("the box itself found %d differences, see its log", r.Differences)
+	}
+	return ""
+}
+
+// Moved has one that was counted as failed, being in doubt, counted where it belongs.
+func (f Figures) Moved(to Figure) Figures {
+	f.Failed--
+	f.Open++
+	f.closed(to)
+	return f
+}
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -119,6 +119,9 @@
 	return b
 }
 
+// Log is where the backend logs.
+func (b *Backend) Log() *slog.Logger { return b.log }
+
 // Reload has new work go to the addresses of another configuration: those of the processor, the next tier and the
 // control plane, and the time to stop. What is in hand at the old ones may finish; a drain goes on as it was. All
 // else takes a new process. It may be called from any goroutine.
--- a/backend/main.go
+++ b/backend/main.go
@@ -11,8 +11,9 @@
 )
 
 // Main runs one backend as a process: configuration from the environment, log on standard error, SIGTERM to
-// leave, SIGHUP to read the configuration anew, SIGUSR1 to print the counters.
-func Main() error {
+// leave, SIGHUP to read the configuration anew, SIGUSR1 to print the counters. The operator's settings are put in by set;
+// up starts what is served beside it, and gives what ends that.
+func Main(set func(*Config), up func(*Backend) (stop func(), err error)) error {
 	asked := make(chan os.Signal, 8)
 	signal.Notify(asked, syscall.SIGHUP, syscall.SIGUSR1) // before all else: unheeded they end the process
 	defer signal.Stop(asked)
@@ -20,12 +21,18 @@
 	if err != nil {
 		return err
 	}
+	set(&cfg)
 	cfg.Limits.Apply()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	conn.Prepare(log)
 	b := New(cfg, log)
+	end, err := up(b)
+	if err != nil {
+		return err
+	}
+	defer end()
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
--- a/cmd/frosthub/main.go
+++ b/cmd/frosthub/main.go
@@ -1,16 +1,10 @@
-// Command frosthub is one backend; its configuration is named by the environment.
+// Command frosthub is one backend, and what its operators ask of it.
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"frosthub/backend"
+	"frosthub/internal/cli"
 )
 
-func main() {
-	if err := backend.Main(); err != nil {
-		fmt.Fprintln(os.Stderr, "frosthub:", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(cli.Run(os.Args[1:])) }
--- a/internal/figures/file.go
+++ b/internal/figures/file.go
@@ -362,3 +362,31 @@
 	info, err := os.Stat(f.path)
 	return err == nil && os.SameFile(info, f.info)
 }
+
+// Held tells whether a process records in that file.
+func Held(path string) bool {
+	lock, err := os.Open(path + ".lock")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = lock.Close() }()
+	how := unix.Flock_t{Type: unix.F_WRLCK} // asked for and not taken: a box that starts now finds it free
+	return unix.FcntlFlock(lock.Fd(), unix.F_OFD_GETLK, &how) == nil && how.Type != unix.F_UNLCK
+}
+
+// hold takes the lock of a file for as long as what is returned is open: it ends with the process.
+func hold(path string) (*os.File, error) {
+	lock, err := os.OpenFile(path+".lock", os.O_CREATE|os.O_RDWR, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	how := unix.Flock_t{Type: unix.F_WRLCK}
+	if err := unix.FcntlFlock(lock.Fd(), unix.F_OFD_SETLK, &how); err != nil {
+		_ = lock.Close()
+		if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EACCES) {
+			err = ErrBusy
+		}
+		return nil, err
+	}
+	return lock, nil
+}
--- a/internal/figures/recorder.go
+++ b/internal/figures/recorder.go
@@ -84,15 +84,7 @@
 
 func open(path string, ops int, fresh *account.Book, cfg account.Config, at time.Duration) (o opened) {
 	fail := func(err error) { o.errs = append(o.errs, err) }
-	lock, err := os.OpenFile(path+".lock", os.O_CREATE|os.O_RDWR, 0o640)
-	if err == nil {
-		if err = unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
-			_ = lock.Close()
-			if errors.Is(err, unix.EWOULDBLOCK) {
-				err = ErrBusy
-			}
-		}
-	}
+	lock, err := hold(path)
 	if err != nil {
 		fail(err)
 		return o
