Figures files and boxes killed and drained under load, held against the edge nodes' tallies

Cause: figures are to be believed after kills, drains and trouble with the disk; that has to be caused to be shown.

The test on the built binary compares, life by life and id by id, what the box's file says with what came back. internal/figures is cut at each byte it writes, damaged, held by two, cut short under the map, removed, put on a full disk, outgrown.

--- a/account/book.go
+++ b/account/book.go
@@ -127,6 +127,9 @@
 	}
 }
 
+// Redo has the next Drain hand over ops that were drained and not recorded.
+func (b *Book) Redo(ops []Op) { b.ops = append(slices.Clone(ops), b.ops...) }
+
 // Seq is the number of the last op.
 func (b *Book) Seq() uint64 { return b.seq }
 
--- /dev/null
+++ b/cmd/frosthub/figures_test.go
@@ -0,0 +1,317 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"frosthub/account"
+	"frosthub/internal/figures"
+	"frosthub/internal/stand"
+)
+
+var (
+	kills  = flag.Int("kills", 24, "how often a box is killed under load; 300 outside CI")
+	drains = flag.Int("drains", 20, "how often one is drained under load; 300 outside CI")
+)
+
+// binary is the built program, the one of all tests here.
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "frosthub-test-")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "frosthub")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(out))
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// fate is what a box's account says of a req.
+type fate struct {
+	sent, closed bool
+	doubt        bool
+	why          account.Reason // of the answer or the end
+}
+
+// fates reads the changes of one life.
+func fates(t *testing.T, path string) (map[uint64]fate, *account.Book) {
+	book, data, err := figures.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ops, err := figures.Trail(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at, out := map[uint32]uint64{}, map[uint64]fate{}
+	for _, op := range ops {
+		id := at[op.Slot]
+		f := out[id]
+		switch op.Kind {
+		case account.OpOpen:
+			if _, again := out[op.ID]; again && op.ID != 0 {
+				t.Errorf("%016x is taken twice", op.ID)
+			}
+			at[op.Slot] = op.ID
+			out[op.ID] = fate{}
+			continue
+		case account.OpAnswer:
+			f.why = op.Reason
+		case account.OpSent:
+			f.sent = true
+		case account.OpClose:
+			f.closed, f.why = true, op.Reason
+		default:
+			continue
+		}
+		out[id] = f
+	}
+	return out, book
+}
+
+// agrees tells whether box and edge node say the same of a req.
+func agrees(o stand.Outcome, f fate, taken bool) bool {
+	var want account.Figure
+	switch o {
+	case stand.Served:
+		want = account.Served
+	case stand.Refused:
+		want = account.Refused
+	case stand.Failed:
+		want = account.Failed
+	case stand.TakenOff:
+		return f.closed && f.why == account.Aborted
+	case stand.Sent, stand.NotSent: // nothing has come of it: never taken, or closed without an answer
+		return !taken || !f.sent
+	default:
+		return false
+	}
+	return taken && (f.sent || f.doubt) && f.why.Figure() == want
+}
+
+// TestKillsAndDrains has boxes killed and drained under load, and holds their accounts against the edge nodes' tallies,
+// id by id and in sum.
+func TestKillsAndDrains(t *testing.T) {
+	const boxes = 4
+	for i := range boxes {
+		t.Run(fmt.Sprint("box ", i), func(t *testing.T) {
+			t.Parallel()
+			killsAndDrains(t, (*kills+boxes-1-i)/boxes, (*drains+boxes-1-i)/boxes, uint64(i))
+		})
+	}
+}
+
+func killsAndDrains(t *testing.T, kills, drains int, seed uint64) {
+	p, err := stand.NewProcessor(2, func(uint64, string) time.Duration { return 2 * time.Millisecond })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	address, err := stand.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	path := filepath.Join(dir, "figures")
+	box := &stand.Box{Binary: binary, Dir: dir, Listen: address, Processor: p.Address(), StopMS: 500,
+		Conf: "figures file " + path + "\nfigures trail 65536\nfigures periods 60 every 1s\nfigures customers 8\n"}
+	load := stand.Load{Address: address, Conns: 6, Every: 6 * time.Millisecond, Slots: 24, Callers: 20,
+		Handlers: []string{"status", "field-update", "file-claim"}, Abort: 0.05, Close: 0.02, Bad: 0.02, Body: "a field"}
+	r := rand.New(rand.NewPCG(seed, 7))
+	var sums account.Figures // as the edge nodes have them
+	var doubts, most, lives int
+	settled := strings.Builder{}
+	for left := kills + drains; left > 0; left-- {
+		kill := r.IntN(left) < kills
+		if err := box.Start(); err != nil {
+			t.Fatal(err)
+		}
+		lives++
+		tally := stand.NewTally()
+		ctx, stop := context.WithCancel(t.Context())
+		loaded := make(chan struct{})
+		go func() {
+			load.Run(ctx, tally, r.Uint64())
+			close(loaded)
+		}()
+		time.Sleep(time.Duration(50+r.IntN(200)) * time.Millisecond)
+		if kill {
+			kills--
+			err = box.Kill()
+		} else {
+			err = box.Drain()
+		}
+		if err != nil {
+			t.Fatal(err, box.Log())
+		}
+		stop()
+		<-loaded
+		of, book := fates(t, path)
+		if kill {
+			book.Settle(account.CutByKill, account.Killed)
+		}
+		list, _, _ := book.Lives()
+		life := list[len(list)-1]
+		for _, id := range life.Doubt {
+			f := of[id]
+			f.doubt = true
+			of[id] = f
+		}
+		doubts, most = doubts+len(life.Doubt), max(most, len(life.Doubt))
+		all := tally.All()
+		var mine account.Figures // of this life, settled by the tally
+		for id, o := range all {
+			f, taken := of[id]
+			if !agrees(o, f, taken) {
+				t.Errorf("life %d: %016x is %s for the edge node, %+v in the account (%v)", lives, id, o, f, taken)
+			}
+			if !taken {
+				continue
+			}
+			mine.Taken++
+			switch o {
+			case stand.Served:
+				mine.Served++
+			case stand.Refused:
+				mine.Refused++
+			default:
+				mine.Failed++
+			}
+			if f.doubt {
+				word := map[stand.Outcome]string{stand.Served: "served", stand.Refused: "refused"}[o]
+				if word == "" {
+					word = "failed"
+				}
+				fmt.Fprintf(&settled, "%016x %s\n", id, word)
+			}
+		}
+		for id := range of {
+			if _, asked := all[id]; !asked {
+				t.Errorf("life %d: %016x was never asked for", lives, id)
+			}
+		}
+		for id, n := range p.Runs() {
+			if n > 1 {
+				t.Errorf("%016x ran %d times", id, n)
+			}
+		}
+		p.Reset()
+		got := life.Figures
+		for _, id := range life.Doubt {
+			switch all[id] {
+			case stand.Served:
+				got = got.Moved(account.Served)
+			case stand.Refused:
+				got = got.Moved(account.Refused)
+			}
+		}
+		if got != mine {
+			t.Errorf("life %d: the box has %+v, the edge nodes %+v", lives, got, mine)
+		}
+		sums = sums.Plus(mine)
+	}
+	t.Logf("%d lives, %+v; in doubt %d, %d a life at most", lives, sums, doubts, most)
+	if sums.Served < int64(20*lives) || sums.Failed == 0 {
+		t.Error("too little was asked to tell anything")
+	}
+	if lives > 50 {
+		return // ids in doubt of early lives are no longer told one by one
+	}
+	tally := filepath.Join(dir, "tally")
+	if err := os.WriteFile(tally, []byte(settled.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out, err := exec.Command(binary, "figures", "--json", "--tally", tally, path).Output()
+	if err != nil {
+		t.Fatal(err, string(out))
+	}
+	var told []struct {
+		Report    account.Report
+		DoubtIDs  []string `json:"doubt_ids"`
+		Different string   `json:"difference"`
+	}
+	if err := json.Unmarshal(out, &told); err != nil {
+		t.Fatal(err)
+	}
+	if told[0].Report.Total != sums || len(told[0].DoubtIDs) > 0 || told[0].Different != "" {
+		t.Errorf("figures says %+v, %v in doubt, %q; the edge nodes %+v", told[0].Report.Total, told[0].DoubtIDs, told[0].Different, sums)
+	}
+}
+
+var (
+	pairs    = flag.Int("pairs", 0, "measure the cost of the figures in so many pairs of runs")
+	baseline = flag.String("baseline", "", "a program to measure against, instead of this one without figures")
+)
+
+// TestCost measures the time on cores a req, with all of the figures on and without them, in turn.
+func TestCost(t *testing.T) {
+	if *pairs == 0 {
+		t.Skip("asked for by -pairs")
+	}
+	with := func(dir string) string {
+		return "figures file " + filepath.Join(dir, "figures") + "\nfigures periods 1440 every 1m\nfigures customers 64\n"
+	}
+	other := binary
+	if *baseline != "" {
+		other = *baseline
+	}
+	cost := func(program, conf, dir string) (float64, int64) {
+		p, err := stand.NewProcessor(8, func(uint64, string) time.Duration { return 200 * time.Microsecond })
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer p.Close()
+		address, err := stand.FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		box := &stand.Box{Binary: program, Dir: dir, Listen: address, Processor: p.Address(), StopMS: 500, Conf: conf,
+			Plain: program != binary}
+		if err := box.Start(); err != nil {
+			t.Fatal(err)
+		}
+		tally := stand.NewTally()
+		ctx, stop := context.WithTimeout(t.Context(), 4*time.Second)
+		defer stop()
+		stand.Load{Address: address, Conns: 8, Every: 4 * time.Millisecond, Slots: 30, Callers: 1 << 30,
+			Handlers: []string{"status", "file-claim"}, CostMS: 0.2, Body: "a field"}.Run(ctx, tally, 1)
+		if err := box.Drain(); err != nil {
+			t.Fatal(err)
+		}
+		return float64(box.CPU().Microseconds()) / float64(len(tally.All())), box.Memory()
+	}
+	var ratios []float64
+	for i := range *pairs {
+		dir := t.TempDir()
+		var on, off float64
+		var kb [2]int64
+		if i%2 == 0 {
+			on, kb[0] = cost(binary, with(dir), dir)
+			off, kb[1] = cost(other, "", dir)
+		} else {
+			off, kb[1] = cost(other, "", dir)
+			on, kb[0] = cost(binary, with(dir), dir)
+		}
+		t.Logf("with %.1f us a req, without %.1f: %.3f; %d and %d KB", on, off, on/off, kb[0], kb[1])
+		ratios = append(ratios, on/off)
+	}
+	slices.Sort(ratios)
+	t.Logf("ratios %.3f, median %.3f", ratios, ratios[len(ratios)/2])
+}
--- /dev/null
+++ b/internal/figures/figures_test.go
@@ -0,0 +1,453 @@
+package figures
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"frosthub/account"
+)
+
+var cfg = account.Config{Handlers: []string{"status", "file-claim"}, Customers: 3, Periods: 5, Every: time.Second}
+
+const noon = 500_000 * time.Hour
+
+// recorded has a book and a recorder on a file.
+func recorded(t testing.TB, path string) (*account.Book, *Recorder, *bytes.Buffer) {
+	t.Helper()
+	var log bytes.Buffer
+	r := NewRecorder(path, OpsLeast, slog.New(slog.NewTextHandler(&log, nil)))
+	fresh, err := account.New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.Open(fresh, cfg, noon, 5*time.Second), r, &log
+}
+
+// step makes the i-th of a script of changes: reqs that come, are answered, sent, given up, over seconds.
+func step(b *account.Book, i int, open []account.Ticket) []account.Ticket {
+	at := noon + time.Duration(i)*70*time.Millisecond
+	switch i % 5 {
+	case 0, 1:
+		open = append(open, b.Open(at, uint64(i), uint16(i%3), account.Front(i%2), account.NameOf([]byte{byte(i % 7)})))
+	case 2:
+		b.Answer(at, open[0], account.Ran)
+		b.Flush(at, true)
+	case 3:
+		b.Sent(at, open[0])
+		b.Flush(at, false)
+		open = open[1:]
+	case 4:
+		b.Close(at, open[len(open)-1], account.Aborted)
+		open = open[:len(open)-1]
+	}
+	return open
+}
+
+// TestCuts: wherever the process is ended in the middle of writing, the file holds the book as it was after one of
+// its changes, and a new life goes on from it with figures that add up.
+func TestCuts(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "figures")
+	b, r, _ := recorded(t, path)
+	defer r.Close(b, noon)
+	var open []account.Ticket
+	var wants [][]byte // the snapshots after each op
+	plain, _, err := ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wants = append(wants, plain.AppendSnapshot(nil))
+	cuts, rolls := 0, uint64(0)
+	for i := range 3 * OpsLeast {
+		open = step(b, i, open)
+		var ops []account.Op
+		b.Drain(func(o []account.Op) { ops = append(ops, o...) })
+		before := bytes.Clone(r.file.data)
+		for _, op := range ops { // the books that there were
+			if err := plain.Apply(op); err != nil {
+				t.Fatal(err)
+			}
+			wants = append(wants, plain.AppendSnapshot(nil))
+		}
+		wants = wants[max(0, len(wants)-4*OpsLeast):]
+		b.Redo(ops)
+		if err := r.file.append(b); err != nil {
+			t.Fatal(err)
+		}
+		after := r.file.data
+		_, next := b.Periods()
+		if next == rolls && i%37 > 0 {
+			continue // each place of a cut is tried where a period or a snapshot is written, and now and then
+		}
+		rolls = next
+		image := bytes.Clone(before)
+		for at := range after { // bytes become new one after the other, in the order of the parts
+			if image[at] == after[at] {
+				continue
+			}
+			image[at] = after[at]
+			if at%3 > 0 && at > r.file.snapAt(0) {
+				continue
+			}
+			cuts++
+			got, err := Read(image)
+			if err != nil {
+				t.Fatalf("step %d, cut at byte %d: %v", i, at, err)
+			}
+			text := got.AppendSnapshot(nil)
+			if !contains(wants, text) {
+				t.Fatalf("step %d, cut at byte %d: a book that there never was", i, at)
+			}
+		}
+		got, err := Read(after)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(wants[len(wants)-1], got.AppendSnapshot(nil)); diff != "" {
+			t.Fatal(i, diff)
+		}
+		life, err := got.Renew(cfg, noon, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		life.Audit(noon)
+		if f := life.Total(); len(life.Found()) > 0 || f.Open != 0 || f.Taken != b.Total().Taken {
+			t.Fatal(f, b.Total())
+		}
+	}
+	if cuts < 1000 {
+		t.Error("only", cuts, "cuts")
+	}
+}
+
+func contains(all [][]byte, x []byte) bool {
+	for i := len(all) - 1; i >= 0; i-- {
+		if bytes.Equal(all[i], x) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestLives: a process that left, one that was killed and one whose handlers have other names stay on their account.
+func TestLives(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "figures")
+	var got []string
+	say := func(b *account.Book) {
+		list, _, _ := b.Lives()
+		l := list[len(list)-1]
+		got = append(got, strings.Join([]string{l.Ending.String(), figuresText(l.Figures), figuresText(b.Total())}, ", "))
+	}
+	b, r, _ := recorded(t, path)
+	k := b.Open(noon, 1, b.Handler("file-claim"), account.FastCGI, account.Name{})
+	b.Answer(noon, k, account.Ran)
+	b.Sent(noon, k)
+	b.Open(noon, 2, b.Handler("status"), account.FastCGI, account.Name{})
+	b.Settle(account.CutByStop, account.Left)
+	r.Close(b, noon)
+	b, _, _ = ReadFile(path)
+	say(b)
+	b, r, _ = recorded(t, path)
+	k = b.Open(noon, 3, b.Handler("status"), account.FastCGI, account.Name{})
+	b.Open(noon, 4, b.Handler("status"), account.FastCGI, account.Name{})
+	b.Answer(noon, k, account.Shed)
+	b.Flush(noon, true)
+	r.Append(b, noon)
+	_ = r.lock.Close() // as the end of a process would
+	b, _, _ = ReadFile(path)
+	say(b)
+	cfg = account.Config{Handlers: []string{"claims", "status"}}
+	defer func() {
+		cfg = account.Config{Handlers: []string{"status", "file-claim"}, Customers: 3, Periods: 5, Every: time.Second}
+	}()
+	b, r, _ = recorded(t, path)
+	list, _, _ := b.Lives()
+	killed := list[len(list)-2]
+	got = append(got, killed.Ending.String()+", "+figuresText(killed.Figures))
+	if killed.Doubted != 1 || killed.Doubt[0] != 3 {
+		t.Error("in doubt: ", killed.Doubt)
+	}
+	b.Open(noon, 5, b.Handler("claims"), account.FastCGI, account.Name{})
+	r.Append(b, noon)
+	for _, row := range b.Report(false).Rows {
+		got = append(got, row.Handler+" "+figuresText(row.Figures))
+	}
+	r.Close(b, noon)
+	want := []string{"left, 2=1+0+1+0, 2=1+0+1+0", "runs, 2=0+0+0+2, 4=1+0+1+2", "killed, 2=0+0+2+0",
+		"claims 1=0+0+0+1", "status 3=0+0+3+0", "file-claim 1=1+0+0+0"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func figuresText(f account.Figures) string {
+	var b strings.Builder
+	for i, n := range []int64{f.Taken, f.Served, f.Refused, f.Failed, f.Open} {
+		b.WriteString([]string{"", "=", "+", "+", "+"}[i] + string(rune('0'+n)))
+	}
+	return b.String()
+}
+
+// TestDamage: a file that can't be read is told, kept aside, and the box goes on with a new one.
+func TestDamage(t *testing.T) {
+	dir := t.TempDir()
+	whole := func() []byte {
+		path := filepath.Join(dir, "whole")
+		b, r, _ := recorded(t, path)
+		for i := range 40 {
+			b.Open(noon, uint64(i), 1, account.FastCGI, account.Name{})
+		}
+		r.Append(b, noon)
+		r.Close(b, noon)
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}()
+	var l layout
+	if err := l.get(whole); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		spoil func(b []byte) []byte
+		why   error
+	}{
+		"empty":       {func(b []byte) []byte { return nil }, ErrForeign},
+		"foreign":     {func(b []byte) []byte { return []byte("[Unit]\nDescription=other") }, ErrForeign},
+		"version":     {func(b []byte) []byte { b[8]++; return b }, ErrVersion},
+		"header":      {func(b []byte) []byte { b[13]++; return b }, ErrDamaged},
+		"truncated":   {func(b []byte) []byte { return b[:len(b)/2] }, ErrDamaged},
+		"longer":      {func(b []byte) []byte { return append(b, 0) }, ErrDamaged},
+		"an op":       {func(b []byte) []byte { b[l.opAt(20)+9]++; return zero(b, l.snapAt(1), l.snap) }, ErrDamaged},
+		"snapshots":   {func(b []byte) []byte { b[l.snapAt(0)+40]++; b[l.snapAt(1)+40]++; return b }, ErrDamaged},
+		"no snapshot": {func(b []byte) []byte { return zero(b, l.snapAt(0), 2*l.snap) }, ErrDamaged},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "figures")
+			bad := c.spoil(bytes.Clone(whole))
+			if err := os.WriteFile(path, bad, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := Read(bad); !errors.Is(err, c.why) {
+				t.Errorf("%v, not %v", err, c.why)
+			}
+			b, r, log := recorded(t, path)
+			defer r.Close(b, noon)
+			kept, err := os.ReadFile(path + ".bad-1")
+			if err != nil || !bytes.Equal(kept, bad) || !strings.Contains(log.String(), "level=ERROR") || !r.Up() {
+				t.Error(err, log)
+			}
+			b.Open(noon, 7, 1, account.FastCGI, account.Name{})
+			r.Append(b, noon)
+			if again, _, err := ReadFile(path); err != nil || again.Total().Taken != 1 {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+func zero(b []byte, at, n int) []byte {
+	clear(b[at : at+n])
+	return b
+}
+
+// TestTwoOnOne: a second process is refused a file that is in use, and serves on without.
+func TestTwoOnOne(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "figures")
+	b, r, _ := recorded(t, path)
+	if !Held(path) {
+		t.Error("it is held")
+	}
+	other, second, log := recorded(t, path)
+	if second.Up() || !strings.Contains(log.String(), ErrBusy.Error()) {
+		t.Error(log)
+	}
+	other.Open(noon, 9, 1, account.FastCGI, account.Name{})
+	second.Append(other, noon)
+	second.Close(other, noon)
+	b.Open(noon, 8, 1, account.FastCGI, account.Name{})
+	r.Append(b, noon)
+	if book, _, err := ReadFile(path); err != nil || book.Total().Taken != 1 {
+		t.Error(err)
+	}
+	r.Close(b, noon)
+	if Held(path) {
+		t.Error("it is free")
+	}
+}
+
+// TestFailures: a file that is cut short under the map, one that is removed and a full disk cost the record alone, are
+// told, and recording begins again with all figures.
+func TestFailures(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "disk")
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "figures")
+	b, r, log := recorded(t, path)
+	at, id := noon, uint64(0)
+	until := func(up bool) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); r.Up() != up || up && r.busy; {
+			if time.Now().After(end) {
+				t.Fatal("never ", up, log)
+			}
+			id++
+			at += time.Second
+			b.Open(at, id, 1, account.FastCGI, account.Name{})
+			r.Append(b, at)
+			time.Sleep(time.Millisecond) // what runs in the background has no other sign
+		}
+	}
+	until(true)
+	if err := os.Truncate(path, headLen); err != nil {
+		t.Fatal(err)
+	}
+	until(false)
+	if !strings.Contains(log.String(), ErrFault.Error()) {
+		t.Error(log)
+	}
+	until(true)
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	until(false)
+	for end := time.Now().Add(10 * time.Second); !strings.Contains(log.String(), "no such file"); {
+		if time.Now().After(end) {
+			t.Fatal(log)
+		}
+		at += time.Second
+		r.Append(b, at)
+	}
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	full := errors.New("no space left on device")
+	var fill bool
+	allocate = func(int, uint32, int64, int64) error {
+		if fill {
+			return full
+		}
+		return nil
+	}
+	defer func() { allocate = fallocate }()
+	fill = true
+	for end := time.Now().Add(10 * time.Second); !strings.Contains(log.String(), full.Error()); {
+		if time.Now().After(end) {
+			t.Fatal(log)
+		}
+		at += time.Second
+		r.Append(b, at)
+	}
+	for r.busy { // the try on the full disk is over
+		at += time.Millisecond
+		r.Append(b, at)
+	}
+	allocate = fallocate
+	until(true)
+	b.Open(at, id+1, 1, account.FastCGI, account.Name{})
+	r.Append(b, at)
+	book, _, err := ReadFile(path)
+	if err != nil || book.Total() != b.Total() {
+		t.Error(err, book.Total(), b.Total())
+	}
+	if names, _ := filepath.Glob(path + newMark + "*"); len(names) > 0 {
+		t.Error("left behind: ", names)
+	}
+	r.Close(b, at)
+}
+
+// TestOutgrown: a book that no longer fits its file gets a larger one.
+func TestOutgrown(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "figures")
+	b, r, log := recorded(t, path)
+	at := noon
+	size := len(r.file.data)
+	for i := range 16 * openSpare {
+		b.Open(noon, uint64(i), 1, account.FastCGI, account.Name{})
+		if i%100 == 0 {
+			at += time.Second
+			r.Append(b, at)
+		}
+	}
+	for end := time.Now().Add(10 * time.Second); !r.Up() || r.busy || len(r.file.data) == size; at += time.Second {
+		if time.Now().After(end) {
+			t.Fatal(log)
+		}
+		r.Append(b, at)
+		time.Sleep(time.Millisecond)
+	}
+	r.Append(b, at)
+	if book, _, err := ReadFile(path); err != nil || book.Total() != b.Total() || !strings.Contains(log.String(), ErrFull.Error()) {
+		t.Error(err, log, book.Total(), b.Total())
+	}
+	r.Close(b, at)
+}
+
+// FuzzRead: any bytes are read as a sound book or refused.
+func FuzzRead(f *testing.F) {
+	path := filepath.Join(f.TempDir(), "figures")
+	small := cfg
+	small.Periods = 0
+	b, _ := account.New(small)
+	b.Begin(noon, 0)
+	l := layout{ops: OpsLeast, snap: 4096}
+	x := &file{layout: l, path: path, data: make([]byte, l.size())}
+	l.put(x.data)
+	b.KeepOps(true)
+	if err := x.start(b); err != nil {
+		f.Fatal(err)
+	}
+	var open []account.Ticket
+	for i := range 90 {
+		open = step(b, i, open)
+		if err := x.append(b); err != nil {
+			f.Fatal(err)
+		}
+	}
+	f.Add(x.data, uint32(9000), byte(1))
+	f.Fuzz(func(t *testing.T, data []byte, at uint32, to byte) {
+		if len(data) > 0 {
+			data[int(at)%len(data)] ^= to
+		}
+		b, err := Read(data)
+		if err == nil {
+			b.Audit(noon)
+			if found := b.Found(); len(found) > 0 {
+				t.Error(found)
+			}
+			if _, err := b.Renew(cfg, noon, 0); err != nil {
+				t.Error(err)
+			}
+		}
+		_, _ = Trail(data)
+	})
+}
+
+// BenchmarkAppend: what a batch of a hundred reqs costs the owner.
+func BenchmarkAppend(b *testing.B) {
+	book, _ := account.New(cfg)
+	r := NewRecorder(filepath.Join(b.TempDir(), "figures"), 0, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	book = r.Open(book, cfg, noon, 5*time.Second)
+	defer r.Close(book, noon)
+	at := noon
+	b.ReportAllocs()
+	for i := range b.N {
+		at += 10 * time.Millisecond
+		for k := range 100 {
+			t := book.Open(at, uint64(i*100+k), 1, account.FastCGI, account.Name{})
+			book.Answer(at, t, account.Ran)
+			book.Sent(at, t)
+		}
+		r.Append(book, at)
+	}
+}
--- a/internal/figures/file.go
+++ b/internal/figures/file.go
@@ -224,6 +224,12 @@
 	buf  []byte
 }
 
+// fallocate takes room on a disk; what tests put in allocate's place has none.
+var (
+	fallocate = unix.Fallocate
+	allocate  = fallocate
+)
+
 // create makes a file with room for such a book and puts it in the place of the one before; nothing is in it yet.
 // The room is taken on the disk at once: a full one is an error here and not a fault later.
 func create(path string, l layout) (f *file, err error) {
@@ -240,7 +246,7 @@
 			_ = os.Remove(tmp.Name())
 		}
 	}()
-	if err = unix.Fallocate(int(tmp.Fd()), 0, 0, int64(l.size())); err != nil {
+	if err = allocate(int(tmp.Fd()), 0, 0, int64(l.size())); err != nil {
 		return nil, fmt.Errorf("room of %d bytes: %w", l.size(), err)
 	}
 	data, err := unix.Mmap(int(tmp.Fd()), 0, l.size(), unix.PROT_READ|unix.PROT_WRITE, unix.MAP_SHARED|unix.MAP_POPULATE)
@@ -300,9 +306,10 @@
 func (f *file) append(b *account.Book) error {
 	first, next := b.Periods()
 	rolled := f.places > 0 && next > f.next
+	many := false
 	b.Drain(func(ops []account.Op) {
-		if len(ops) > f.ops/4 {
-			f.at = 0 // more than the ring may hold beside a snapshot: those of one batch never are
+		if many = len(ops) > f.ops/4; many {
+			return // they would write over what the last snapshot needs; the next one holds them all at once
 		}
 		for i := range ops {
 			ops[i].Put(f.data[f.opAt(ops[i].Seq):][:account.OpSize])
@@ -314,7 +321,7 @@
 		}
 		f.next = next
 	}
-	if rolled || b.Seq()-f.at > uint64(f.ops/4) {
+	if rolled || many || b.Seq()-f.at > uint64(f.ops/4) {
 		return f.checkpoint(b)
 	}
 	return nil
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,85 @@
+package operator
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"frosthub/backend"
+)
+
+// TestParse: what stands in a file is taken, and what is wrong is told with its place and what was expected.
+func TestParse(t *testing.T) {
+	got, err := Parse("x.conf", "# all\n\nadmin listen 127.0.0.1:9180\r\n  figures file \"/var/lib/a b\" # here\n"+
+		"figures trail 1024\nfigures periods 60 every 30s\nfigures customers 9\nfigures customer-field X-Customer")
+	want := Config{Admin: "127.0.0.1:9180", Figures: backend.Figures{File: "/var/lib/a b", Trail: 1024, Periods: 60,
+		Every: 30 * time.Second, Customers: 9, CustomerField: "X-Customer"}}
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Error(diff, err)
+	}
+	if got, err = Parse("x.conf", ""); err != nil || got != (Config{}) {
+		t.Error(got, err)
+	}
+	for text, want := range map[string]string{
+		"figures":                                         `x.conf:1:1: unknown directive "figures", expected one of: figures file, figures trail, figures periods, figures customers, figures customer-field`,
+		"\n\n  fig file /x":                               `x.conf:3:3: unknown directive "fig file", expected one of: admin listen, figures file, figures trail, figures periods, figures customers, figures customer-field`,
+		"figures file":                                    `x.conf:1:13: "figures file" lacks its path, expected an absolute path on a disk of this machine`,
+		"figures file x":                                  `x.conf:1:14: path "x": no absolute path, expected an absolute path on a disk of this machine`,
+		"figures file /x /y":                              `x.conf:1:17: "/y" is too much for "figures file", expected the end of the line`,
+		"figures file /x\nfigures file /y":                `x.conf:2:1: "figures file" again, expected it once: it stands on line 1`,
+		"figures trail 1024":                              `x.conf:1:1: "figures trail" says nothing alone, expected also "figures file"`,
+		"figures file /x\nfigures trail 1000":             `x.conf:2:15: number "1000": no power of two, expected a number from 256 to 1048576, a power of two`,
+		"figures periods 60 each 1m":                      `x.conf:1:20: "each" where "every" belongs, expected "every"`,
+		"figures periods 60 every 1d":                     `x.conf:1:26: span "1d": no span, expected a span from 1s to 1h, as 1m`,
+		"figures periods 60 every 1ms":                    `x.conf:1:26: span "1ms": out of its range, expected a span from 1s to 1h, as 1m`,
+		"figures customers many":                          `x.conf:1:19: number "many": no whole number, expected a number from 1 to 1024`,
+		"figures customers 0":                             `x.conf:1:19: number "0": out of its range, expected a number from 1 to 1024`,
+		"admin listen 10.0.0.1:80":                        `x.conf:1:14: address "10.0.0.1:80": no loopback address, expected a loopback address and a port, as 127.0.0.1:9180`,
+		"admin listen 127.0.0.1":                          `x.conf:1:14: address "127.0.0.1": no address with a port, expected a loopback address and a port, as 127.0.0.1:9180`,
+		"figures file \"/x":                               `x.conf:1:14: not understood: lexer: invalid input text "\"/x\n", expected words, or text in double quotes that ends on its line`,
+		"figures customers 9\nfigures customer-field X:Y": `x.conf:2:24: header "X:Y": no name of a header, expected the name of a header, as X-Customer`,
+	} {
+		_, err := Parse("x.conf", text)
+		if err == nil || err.Error() != want {
+			t.Errorf("%q:\n%v, not\n%v", text, err, want)
+		}
+	}
+}
+
+// TestDeployed: the file that shows all directives is good, and says nothing as it stands.
+func TestDeployed(t *testing.T) {
+	const path = "../../deploy/frosthub.conf"
+	if c, err := Load(path); err != nil || c != (Config{}) {
+		t.Error(c, err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	on, n := "", 0
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if len(line) > 2 && line[0] == '#' && line[1] != ' ' {
+			on += line[1:] + "\n"
+			n++
+		}
+	}
+	if c, err := Parse(path, on); err != nil || c == (Config{}) || n != len(Directives) {
+		t.Error(n, c, err)
+	}
+}
+
+// FuzzParse: any text is taken or refused with a place in it.
+func FuzzParse(f *testing.F) {
+	f.Add("figures file /x\nfigures periods 60 every 1m # so\n\"\\\"\"")
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := Parse("x", text)
+		var at *Error
+		if err != nil && (!errors.As(err, &at) || at.Line < 1 || at.Column < 1) {
+			t.Errorf("%v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/stand/box.go
@@ -0,0 +1,154 @@
+package stand
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Box is the process of one backend, in a folder of its own.
+type Box struct {
+	Binary, Dir string
+	Listen      string
+	Processor   string
+	NextTier    string
+	StopMS      int
+	Conf        string // lines of the operator's file; empty: none
+	Cores       float64
+	Plain       bool // an earlier version, which knows no commands
+
+	cmd *exec.Cmd
+	log lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// Log is what the box has logged so far.
+func (b *Box) Log() string {
+	b.log.mu.Lock()
+	defer b.log.mu.Unlock()
+	return b.log.b.String()
+}
+
+// FreeAddress is a loopback address that was free a moment ago.
+func FreeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String(), nil
+}
+
+func (b *Box) config() ([]byte, error) {
+	type m = map[string]any
+	handler := func(name, repeats string, value int) m {
+		return m{"name": name, "credit": value, "giveUpUs": 3_000_000, "goalTimeUs": 1_000_000, "idempotency": repeats}
+	}
+	settings := m{"servers": 1, "tickUs": 1000,
+		"classes": []m{handler("status", "retryable", 1), handler("field-update", "retryable", 2), handler("file-claim", "fragile", 3)},
+		"familyInfo": m{"cores": 2, "downstream": "tier", "halt": "discard", "keyKb": 10, "memoryKb": 100000, "runFactor": 8,
+			"senders": 2, "shareForUs": 800_000, "ownStats": []string{"cpu_busy", "runnable", "mem_used", "sockets"},
+			"signal": "allowance", "tellsGone": true},
+		"invariants": m{"answerSlackUs": 80_000, "drainGraceUs": 300_000, "fallMultiple": 8},
+		"limits":     m{"maxRetryAfterUs": 1_000_000, "retryAfter": true}}
+	cores := b.Cores
+	if cores == 0 {
+		cores = 1
+	}
+	return json.Marshal(m{"name": "n1", "listen": b.Listen, "processor": b.Processor, "backend": b.NextTier,
+		"seed": "8c1f30d27a5be964", "stop_ms": b.StopMS, "limits": m{"cores": cores, "memory_mb": 192, "sockets": 1024},
+		"settings": settings})
+}
+
+// Start starts the process, and returns once it accepts connections.
+func (b *Box) Start() error {
+	text, err := b.config()
+	if err != nil {
+		return err
+	}
+	config := filepath.Join(b.Dir, "config.json")
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		return err
+	}
+	args := []string{"serve"}
+	if b.Plain {
+		args = nil
+	}
+	if b.Conf != "" {
+		conf := filepath.Join(b.Dir, "frosthub.conf")
+		if err := os.WriteFile(conf, []byte(b.Conf), 0o600); err != nil {
+			return err
+		}
+		args = append(args, "--conf", conf)
+	}
+	b.cmd = exec.Command(b.Binary, args...)
+	b.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+config)
+	b.cmd.Stderr = &b.log
+	if err := b.cmd.Start(); err != nil {
+		return err
+	}
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		c, err := net.Dial("tcp", b.Listen)
+		if err == nil {
+			return c.Close()
+		}
+		if b.cmd.Process.Signal(syscall.Signal(0)) != nil {
+			break
+		}
+	}
+	return fmt.Errorf("it does not listen: %s", b.Log())
+}
+
+// Signal sends it one.
+func (b *Box) Signal(s os.Signal) error { return b.cmd.Process.Signal(s) }
+
+// Kill ends it at once, with no notice.
+func (b *Box) Kill() error {
+	if err := b.cmd.Process.Kill(); err != nil {
+		return err
+	}
+	var exit *exec.ExitError
+	if err := b.cmd.Wait(); err != nil && !errors.As(err, &exit) {
+		return err
+	}
+	return nil
+}
+
+// Drain gives it the notice to leave and waits for its end.
+func (b *Box) Drain() error {
+	if err := b.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return b.cmd.Wait()
+}
+
+// CPU is the time on cores that the ended process took.
+func (b *Box) CPU() time.Duration {
+	return b.cmd.ProcessState.SystemTime() + b.cmd.ProcessState.UserTime()
+}
+
+// Memory is the most memory that the ended process held, in kilobytes.
+func (b *Box) Memory() int64 {
+	if u, ok := b.cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+		return u.Maxrss
+	}
+	return 0
+}
