--- a/internal/ajp/server.go
+++ b/internal/ajp/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"math"
 	"strconv"
 )
@@ -118,14 +119,17 @@
 		return nil // the connection ends with the answer
 	}
 	s.out = f
-	return s.p.feed(b, s.take)
+	if err := s.p.feed(b, s.take); err != errRest {
+		return err
+	}
+	return nil
 }
 
 func (s *Server) packet(c []byte) error {
 	f := s.out
 	switch s.at {
-	case spoilt:
-		return nil
+	case spoilt: // refused from outside while this was being read
+		return errRest
 	case answering:
 		return ErrEarly
 	case body:
@@ -215,8 +219,9 @@
 	s.kept = append(s.kept[:0], c...) // what follows comes in packets of its own
 	s.left, s.first, s.at = length, length > 0, body
 	if length > BodyMost {
-		s.refuse(f)
-	} else if length < 0 {
+		return s.refuse(f)
+	}
+	if length < 0 {
 		f(Message{Kind: More}) // of an unknown length nothing comes unasked
 	}
 	return nil
@@ -246,9 +251,13 @@
 
 var contentLength, transferEncoding = []byte("content-length"), []byte("transfer-encoding")
 
-func (s *Server) refuse(f func(Message)) {
+// errRest ends the reading of a stream whose rest does not matter.
+var errRest = errors.New("the rest does not matter")
+
+func (s *Server) refuse(f func(Message)) error {
 	s.Refuse()
 	f(Message{Kind: Bad})
+	return errRest
 }
 
 // part takes a part of the body.
@@ -267,8 +276,7 @@
 	case n == 0 && s.left > 0, n > s.left && s.left >= 0, n == 0 && first:
 		return ErrBody
 	case len(s.body)+n > BodyMost:
-		s.refuse(f)
-		return nil
+		return s.refuse(f)
 	}
 	s.body = append(s.body, c...)
 	if s.left > 0 {
