Front ends that speak AJP come through the same door as FastCGI's

Cause: some installations have front ends that speak AJP; admission rules and the promise of one answer are to be the same.

backend/front.go is split: door.go holds what is the same for all (fields, strangers, limits on what is half read, idle and silent peers, health checks, the one answer and its account), fcgi.go and ajp.go are a parser and a way to cut answers each. ajp listen, ajp secret file and ajp packet stand in the operator's file; without them nothing listens.

--- a/account/reason.go
+++ b/account/reason.go
@@ -43,8 +43,9 @@
 	CutByStop      Reason = 31
 	CutByKill      Reason = 32
 	InDoubt        Reason = 33
+	BadSecret      Reason = 34
 
-	reasons = 34 // of a row of cells
+	reasons = 35 // of a row of cells
 )
 
 // Meaning is a reason's figure, its word in reports, and what it says.
@@ -79,6 +80,7 @@
 	Undelivered:    {Failed, "undelivered", "answered, but its connection ended before the last byte was handed to the system"},
 	CutByStop:      {Failed, "cut-by-stop", "still open when the process ended by itself"},
 	CutByKill:      {Failed, "cut-by-kill", "still open when the process was ended or died"},
+	BadSecret:      {Failed, "bad-secret", "it brought another secret than the front ends', or none"},
 	InDoubt:        {Failed, "in-doubt", "the process died while its answer was being handed to the system"},
 }
 
--- /dev/null
+++ b/backend/ajp.go
@@ -0,0 +1,157 @@
+package backend
+
+import (
+	"bytes"
+	"crypto/subtle"
+	"errors"
+	"strconv"
+	"time"
+
+	"frosthub/account"
+	"frosthub/internal/ajp"
+)
+
+// AJP says how front ends that speak AJP/1.3 are served. The zero value serves none.
+type AJP struct {
+	Listen string // where they connect
+	Secret string // that each req must bring; empty: none
+	Packet int    // bytes of a packet at most, with its head; ajp.PacketUsual if 0
+}
+
+func (a AJP) packet() int {
+	if a.Packet == 0 {
+		return ajp.PacketUsual
+	}
+	return a.Packet
+}
+
+var errShutdown = errors.New("it wants this backend to end")
+
+// jp is a connection that speaks AJP: one req at a time, and no abort but its end.
+type jp struct {
+	f     *door
+	e     *edge
+	p     *ajp.Server
+	begun time.Duration // of the req that is being read
+	part  bool          // one is
+}
+
+// ajpSlot is the one slot of a connection.
+const ajpSlot = 1
+
+func (f *door) ajp(e *edge) protocol {
+	return &jp{f: f, e: e, p: ajp.NewServer(f.b.cfg.AJP.packet())}
+}
+
+func (x *jp) front() account.Front { return account.AJP }
+func (x *jp) held() int            { return x.p.Held() }
+func (x *jp) drop()                { x.p = ajp.NewServer(x.f.b.cfg.AJP.packet()) }
+
+func (x *jp) open() int {
+	if x.p.Open() {
+		return 1
+	}
+	return 0
+}
+
+func (x *jp) late(by time.Duration) (slot uint16, keep, any bool) {
+	if !x.part || x.begun > by {
+		return 0, false, false
+	}
+	x.part = false
+	x.p.Refuse()
+	return ajpSlot, false, true
+}
+
+func (x *jp) feed(p []byte) error {
+	err := x.p.Feed(p, x.message)
+	if part := x.p.Part(); part != x.part {
+		x.part, x.begun = part, x.f.b.now
+	}
+	return err
+}
+
+func (x *jp) message(m ajp.Message) {
+	f, e := x.f, x.e
+	b := f.b
+	e.used, e.sent = b.now, true
+	switch m.Kind {
+	case ajp.CPing:
+		b.scratch = ajp.AppendCPong(b.scratch[:0])
+		e.c.Write(b.scratch)
+	case ajp.More:
+		b.scratch = ajp.AppendMore(b.scratch[:0], b.cfg.AJP.packet())
+		e.c.Write(b.scratch)
+	case ajp.Shutdown: // a front end has no say in that
+		b.count.BadConns++
+		b.note("bad connection", "from", "front end", "why", errShutdown)
+		e.c.Close(errShutdown)
+	case ajp.Bad:
+		f.bad(e, ajpSlot, false, f.nameless(e), 0, account.BadFields, "too large a body")
+	case ajp.Request:
+		if own := b.cfg.AJP.Secret; own != "" && subtle.ConstantTimeCompare([]byte(own), m.Secret) != 1 {
+			f.bad(e, ajpSlot, false, f.nameless(e), 0, account.BadSecret, "a wrong secret, or none")
+			return
+		}
+		a := f.newAsked(e, ajpSlot, true, m.Body)
+		a.set(pathField, m.Path)
+		a.set(queryField, m.Query)
+		m.Headers.Each(func(name, v []byte) { a.set(x.field(name), v) })
+		f.request(a, true)
+	}
+}
+
+// field knows a header.
+func (x *jp) field(name []byte) field {
+	var room [24]byte
+	if len(name) <= len(room) {
+		for i, c := range name {
+			if 'A' <= c && c <= 'Z' {
+				c += 'a' - 'A'
+			}
+			room[i] = c
+		}
+		switch string(room[:len(name)]) {
+		case "x-request-id":
+			return idField
+		case "x-request-start":
+			return startField
+		case "x-caller":
+			return callerField
+		case "x-cost-ms":
+			return costField
+		case "x-memory-kb":
+			return memoryField
+		case "x-rank":
+			return rankField
+		case "x-object":
+			return objectField
+		}
+	}
+	if own := x.f.b.cfg.Figures.CustomerField; own != "" && bytes.EqualFold(name, []byte(own)) {
+		return customerField
+	}
+	return otherField
+}
+
+func (x *jp) answer(b []byte, _ uint16, keep bool, a *reply) []byte {
+	var room [5]ajp.Field
+	fields := room[:0]
+	if len(a.signal) > 0 {
+		fields = append(fields, ajp.Field{Name: "X-Load-Signal", Value: string(a.signal)})
+	}
+	if a.after > 0 {
+		ms := max(1, a.after.Milliseconds())
+		fields = append(fields, ajp.Field{Name: "Retry-After-Ms", Value: strconv.FormatInt(ms, 10)},
+			ajp.Field{Name: "Retry-After", Value: strconv.FormatInt((ms+999)/1000, 10)}) // never earlier
+	}
+	if a.dontRetry {
+		fields = append(fields, ajp.Field{Name: "X-Dont-Retry", Value: "1"})
+	}
+	fields = append(fields, ajp.Field{Name: "Content-Length", Value: strconv.Itoa(len(a.body))})
+	b = ajp.AppendHeaders(b, a.status, statusText[a.status], fields)
+	b = ajp.AppendBody(b, x.f.b.cfg.AJP.packet(), a.body)
+	b = ajp.AppendEnd(b, keep)
+	x.p.Done()
+	return b
+}
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -41,7 +41,7 @@
 	log   *slog.Logger
 	start time.Time // of the spans that the module is given
 	box   *conn.Inbox
-	ln    *conn.Listener
+	ln    []*conn.Listener
 
 	ctl      *overload.Controller // nil until the processor is up
 	handlers []handler
@@ -65,7 +65,7 @@
 	leaving   bool
 	stopAt    time.Duration
 	closed    bool // the listening socket
-	front     front
+	door      door
 	link      link
 	tier      tier
 	lease     lease
@@ -112,7 +112,7 @@
 		}
 		b.handlers = append(b.handlers, handler{name: name, replayable: m["repeats"] == "replayable", timeout: timeout})
 	}
-	b.front.init(b)
+	b.door.init(b)
 	b.link.init(b)
 	b.tier.init(b)
 	b.keys.init(b)
@@ -177,12 +177,16 @@
 	if err := b.openBook(); err != nil {
 		return err
 	}
-	ln, err := b.box.Listen(b.cfg.Listen, b.front.room(), b.front.accept, func() { b.turned.Add(1) })
-	if err != nil {
+	defer b.closeListener()
+	if err := b.listen(b.cfg.Listen, b.door.fastCGI); err != nil {
 		return err
 	}
-	b.ln = ln
-	defer b.closeListener()
+	if at := b.cfg.AJP.Listen; at != "" {
+		if err := b.listen(at, b.door.ajp); err != nil {
+			return err
+		}
+		b.log.Info("serving AJP", "listen", at)
+	}
 	if err := b.lease.open(b.cfg.Control); err != nil {
 		return err
 	}
@@ -263,7 +267,7 @@
 	b.tier.lookAtTime()
 	if b.now >= b.tidyAt {
 		b.tidyAt = b.now + tidyEvery
-		b.front.tidy()
+		b.door.tidy()
 		b.keys.tidy()
 		b.audit()
 	}
@@ -313,9 +317,9 @@
 		}
 	}
 	slots := 0
-	for e := range b.front.edges {
+	for e := range b.door.edges {
 		slots += len(e.open)
-		invariant.Check(e.cut || e.p.Open() >= len(e.open)+len(e.checks), "open slots are known to the parser")
+		invariant.Check(e.cut || e.p.open() >= len(e.open)+len(e.checks), "open slots are known to the parser")
 	}
 	invariant.Check(owed == b.owed && owed == slots, "held and running reqs are those owed, each on one slot")
 	b.compare()
@@ -349,15 +353,26 @@
 		return false
 	}
 	b.closeListener()
-	b.front.closeIdle()
+	b.door.closeIdle()
 	b.at(b.now + lookLeaving)
 	nothing := b.owed == 0 && b.box.Stalled() == 0
 	return b.now >= b.stopAt-exitBefore && nothing || b.now >= b.stopAt-giveUp || b.ctl == nil
 }
 
+// listen accepts those that speak a protocol.
+func (b *Backend) listen(address string, speaks func(e *edge) protocol) error {
+	ln, err := b.box.Listen(address, b.door.room(), b.door.accept(speaks), func() { b.turned.Add(1) })
+	if err == nil {
+		b.ln = append(b.ln, ln)
+	}
+	return err
+}
+
 func (b *Backend) closeListener() {
 	if !b.closed {
 		b.closed = true
-		_ = b.ln.Close()
+		for _, ln := range b.ln {
+			_ = ln.Close()
+		}
 	}
 }
--- a/backend/config.go
+++ b/backend/config.go
@@ -27,7 +27,8 @@
 	Stop      time.Duration // from the notice to leave until the process is ended
 	Limits    Limits
 	Settings  map[string]any // in the module's names
-	Figures   Figures        // of the operator
+	Figures   Figures        // of the operator, as what follows
+	AJP       AJP
 }
 
 // Limits are those of the process.
--- /dev/null
+++ b/backend/fcgi.go
@@ -0,0 +1,117 @@
+package backend
+
+import (
+	"strconv"
+	"time"
+
+	"frosthub/account"
+	"frosthub/internal/fastcgi"
+)
+
+// fcgi is a connection that speaks FastCGI: 32 slots, an abort for each.
+type fcgi struct {
+	f *door
+	e *edge
+	p fastcgi.Parser
+}
+
+func (f *door) fastCGI(e *edge) protocol { return &fcgi{f: f, e: e} }
+
+func (x *fcgi) front() account.Front { return account.FastCGI }
+func (x *fcgi) held() int            { return x.p.Held() }
+func (x *fcgi) open() int            { return x.p.Open() }
+func (x *fcgi) drop()                { x.p = fastcgi.Parser{} }
+
+func (x *fcgi) late(by time.Duration) (slot uint16, keep, any bool) {
+	slot, keep = x.p.Late(by)
+	return slot, keep, slot > 0
+}
+
+func (x *fcgi) feed(p []byte) error {
+	x.p.Now = x.f.b.now
+	return x.p.Feed(p, x.message)
+}
+
+func (x *fcgi) message(m fastcgi.Message) {
+	f, e := x.f, x.e
+	b := f.b
+	e.used, e.sent = b.now, true
+	switch m.Kind {
+	case fastcgi.Request:
+		a := f.newAsked(e, m.Slot, m.Keep, m.Body)
+		whole := fastcgi.Each(m.Params, func(name, v []byte) { a.set(x.field(name), v) })
+		f.request(a, whole)
+	case fastcgi.Bad:
+		f.bad(e, m.Slot, false, f.nameless(e), 0, account.BadFields, "too large, or without its parameters")
+	case fastcgi.Abort:
+		f.takenBack(e, m.Slot)
+		x.end(m.Slot, m.Keep, fastcgi.Complete)
+	case fastcgi.Refuse:
+		b.count.BadReqs++
+		b.note("bad req", "why", "role or number of open reqs", "status", m.Status)
+		t, why := f.nameless(e), account.Role
+		if m.Status == fastcgi.Overloaded {
+			why = account.Slots
+		}
+		x.end(m.Slot, m.Keep, m.Status)
+		f.owe(e, t, 0, why)
+	case fastcgi.Reply:
+		e.c.Write(m.Body)
+	}
+}
+
+// field knows a parameter: headers as CGI names them.
+func (x *fcgi) field(name []byte) field {
+	switch string(name) {
+	case "SCRIPT_NAME":
+		return pathField
+	case "QUERY_STRING":
+		return queryField
+	case "HTTP_X_REQUEST_ID":
+		return idField
+	case "HTTP_X_REQUEST_START":
+		return startField
+	case "HTTP_X_CALLER":
+		return callerField
+	case "HTTP_X_COST_MS":
+		return costField
+	case "HTTP_X_MEMORY_KB":
+		return memoryField
+	case "HTTP_X_RANK":
+		return rankField
+	case "HTTP_X_OBJECT":
+		return objectField
+	}
+	if own := x.f.customerParam; own != "" && string(name) == own {
+		return customerField
+	}
+	return otherField
+}
+
+// end closes a slot without an answer.
+func (x *fcgi) end(slot uint16, keep bool, status byte) {
+	x.f.b.scratch = fastcgi.AppendEnd(x.f.b.scratch[:0], slot, status)
+	x.p.Done(slot)
+	x.f.write(x.e, keep)
+}
+
+func (x *fcgi) answer(b []byte, slot uint16, _ bool, a *reply) []byte {
+	var room [256]byte
+	head := strconv.AppendInt(append(room[:0], "Status: "...), int64(a.status), 10)
+	head = append(append(append(head, ' '), statusText[a.status]...), "\r\n"...)
+	if len(a.signal) > 0 {
+		head = append(append(append(head, "X-Load-Signal: "...), a.signal...), "\r\n"...)
+	}
+	if a.after > 0 {
+		head = strconv.AppendInt(append(head, "Retry-After-Ms: "...), max(1, a.after.Milliseconds()), 10)
+		head = append(head, "\r\n"...)
+	}
+	if a.dontRetry {
+		head = append(head, "X-Dont-Retry: 1\r\n"...)
+	}
+	head = append(head, "\r\n"...)
+	b = fastcgi.AppendStdout(b, slot, append(head, a.body...))
+	b = fastcgi.AppendEnd(b, slot, fastcgi.Complete)
+	x.p.Done(slot)
+	return b
+}
--- a/backend/figures.go
+++ b/backend/figures.go
@@ -88,7 +88,7 @@
 				have(r.ticket, r.id)
 			}
 		}
-		for e := range b.front.edges {
+		for e := range b.door.edges {
 			for _, a := range e.out {
 				have(a.ticket, a.id)
 			}
--- a/backend/link.go
+++ b/backend/link.go
@@ -285,14 +285,14 @@
 		l.used(n)
 	case processor.Tried:
 		l.trials = slices.DeleteFunc(l.trials, func(t uint64) bool { return t == n.Tag })
-		b.front.tried(n.Tag, n.Outcome == overload.OK)
+		b.door.tried(n.Tag, n.Outcome == overload.OK)
 	case processor.Reject:
 		b.count.Rejects++
 		b.note("processor rejects", "command", n.Text)
 		switch r := b.reqs[n.ID]; { // the processor knows no such req: nothing was run
 		case r == nil:
 		case n.Text == "interrupt" && r.at == strange:
-			b.front.unknown(r)
+			b.door.unknown(r)
 		case n.Text == "begin" && r.at == running && r.sent && !r.seen:
 			if b.owes(r) {
 				r.edge.known = false
--- a/backend/req.go
+++ b/backend/req.go
@@ -95,9 +95,9 @@
 		}
 	case overload.Shed:
 		if invariant.Check(r.at == held, "what is shed never ran") {
-			b.front.shed(r, a.RetryAfter, a.DontRetry)
+			b.door.shed(r, a.RetryAfter, a.DontRetry)
 		} else {
-			b.front.errored(r, account.GivenUp)
+			b.door.errored(r, account.GivenUp)
 		}
 		b.answered(r)
 	case overload.Error:
@@ -106,7 +106,7 @@
 			if r.at == asking && r.unserved {
 				why = account.CallFailed
 			}
-			b.front.errored(r, why)
+			b.door.errored(r, why)
 			b.answered(r)
 		} else if r.at >= asking {
 			b.endRun(r) // nobody waits, but the run does
@@ -186,9 +186,9 @@
 	}
 	if b.owes(r) {
 		if how == overload.OK {
-			b.front.done(r, why, body)
+			b.door.done(r, why, body)
 		} else {
-			b.front.errored(r, why)
+			b.door.errored(r, why)
 		}
 		b.owed--
 		r.edge = nil
--- /dev/null
+++ b/cmd/frosthub/ajp_test.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"math"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"frosthub/internal/stand"
+)
+
+var ajpPairs = flag.Int("ajppairs", 0, "compare AJP with FastCGI at 110% of capacity in so many pairs of runs")
+
+// TestClaimsAtNotice: claims over AJP that arrive around the notice to leave run at most once and are answered once, or
+// were never begun.
+func TestClaimsAtNotice(t *testing.T) {
+	const drains, claims = 4, 100
+	outcomes := map[stand.Outcome]int{}
+	for range drains {
+		p, err := stand.NewProcessor(4, func(uint64, string) time.Duration { return 5 * time.Millisecond })
+		if err != nil {
+			t.Fatal(err)
+		}
+		address, err := stand.FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		front, err := stand.FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		dir := t.TempDir()
+		path := filepath.Join(dir, "figures")
+		box := &stand.Box{Binary: binary, Dir: dir, Listen: address, Processor: p.Address(), StopMS: 700,
+			Conf: "ajp listen " + front + "\nfigures file " + path + "\n"}
+		if err := box.Start(); err != nil {
+			t.Fatal(err)
+		}
+		tally := stand.NewTally()
+		asker := stand.NewAJP(front)
+		var all sync.WaitGroup
+		start := time.Now()
+		for i := range claims {
+			all.Go(func() { // one each 10 ms, the notice in the middle of the first half
+				time.Sleep(time.Until(start.Add(time.Duration(i) * 10 * time.Millisecond)))
+				r := stand.Req{ID: uint64(i + 1), Handler: "file-claim", Start: time.Now().UnixMilli(), CostMS: 5, Body: "hail"}
+				tally.Set(r.ID, stand.Sent)
+				tally.Set(r.ID, asker.Ask(&r, 3*time.Second))
+			})
+		}
+		time.Sleep(time.Until(start.Add(250 * time.Millisecond)))
+		if err := box.Drain(); err != nil {
+			t.Fatal(err, box.Log())
+		}
+		all.Wait()
+		asker.Close()
+		of, _ := fates(t, path)
+		runs := p.Runs()
+		for id, o := range tally.All() {
+			outcomes[o]++
+			f, taken := of[id]
+			if runs[id] > 1 || !agrees(o, f, taken) || o == stand.Wrong || o == stand.Refused && runs[id] > 0 {
+				t.Errorf("claim %d: %s for the front end, %+v in the account, ran %d times", id, o, f, runs[id])
+			}
+			if (o == stand.Sent || o == stand.NotSent) && runs[id] > 0 {
+				t.Errorf("claim %d ran, and its front end has no answer: %+v", id, f)
+			}
+		}
+		p.Close()
+	}
+	t.Log(outcomes)
+	if outcomes[stand.Served] < drains*20 || outcomes[stand.Refused]+outcomes[stand.NotSent] == 0 {
+		t.Error("too little happened to tell anything: ", outcomes)
+	}
+}
+
+// TestFrontsAlike: at 110% of capacity what comes over AJP is served like what comes over FastCGI, alone and half and half.
+func TestFrontsAlike(t *testing.T) {
+	if *ajpPairs == 0 {
+		t.Skip("asked for by -ajppairs")
+	}
+	const (
+		cores = 2
+		work  = 20 * time.Millisecond
+	)
+	serve := func(seed uint64, share float64) (all, overAJP, overFastCGI float64) {
+		p, err := stand.NewProcessor(cores, func(id uint64, _ string) time.Duration {
+			return time.Duration((0.5 + float64(id%1000)/1000) * float64(work))
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer p.Close()
+		address, err := stand.FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		front, err := stand.FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		box := &stand.Box{Binary: binary, Dir: t.TempDir(), Listen: address, Processor: p.Address(), StopMS: 500,
+			Conf: "ajp listen " + front + "\n"}
+		if err := box.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = box.Kill() }()
+		ctx, stop := context.WithTimeout(t.Context(), 8*time.Second)
+		defer stop()
+		jp, fcgi := stand.NewAJP(front), stand.NewFastCGI(address)
+		defer jp.Close()
+		defer fcgi.Close()
+		s := stand.Stream{Rate: 1.1 * cores / work.Seconds(), Handlers: []string{"status", "field-update", "file-claim"},
+			CostMS: 20, Target: time.Second, Patient: 3 * time.Second, Body: "a field",
+			Value: map[string]float64{"status": 1, "field-update": 2, "file-claim": 3}}
+		tally := stand.NewTally()
+		all = s.Run(ctx, seed, tally, func(id uint64) stand.Asker {
+			if float64(id>>32)/math.MaxUint32 < share {
+				return jp
+			}
+			return fcgi
+		})
+		var served, asked [2]float64
+		for id, o := range tally.All() {
+			k := 0
+			if float64(id>>32)/math.MaxUint32 < share {
+				k = 1
+			}
+			asked[k]++
+			if o == stand.Served {
+				served[k]++
+			}
+		}
+		return all, served[1] / asked[1], served[0] / asked[0]
+	}
+	var differences, between []float64
+	for i := range *ajpPairs {
+		var one, other, half, halfAJP, halfFastCGI float64
+		var all sync.WaitGroup // side by side: what else the machine does meets all alike
+		all.Go(func() { one, _, _ = serve(uint64(i), 1) })
+		all.Go(func() { other, _, _ = serve(uint64(i), 0) })
+		all.Go(func() { half, halfAJP, halfFastCGI = serve(uint64(i), 0.5) })
+		all.Wait()
+		t.Logf("service over AJP %.3f, over FastCGI %.3f, half and half %.3f: share served %.3f and %.3f", one, other, half, halfAJP, halfFastCGI)
+		differences, between = append(differences, one-other), append(between, halfAJP-halfFastCGI)
+	}
+	interval := func(x []float64) (mean, wide float64) {
+		mean, sd := stat.MeanStdDev(x, nil)
+		n := float64(len(x))
+		return mean, distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975) * sd / math.Sqrt(n)
+	}
+	mean, wide := interval(differences)
+	t.Logf("AJP less FastCGI: %.4f +- %.4f (95%%)", mean, wide)
+	if math.Abs(mean)+wide > 0.02 {
+		t.Error("not inside 0.02")
+	}
+	mean, wide = interval(between)
+	t.Logf("half and half, share served over AJP less over FastCGI: %.4f +- %.4f", mean, wide)
+}
--- a/cmd/frosthub/figures_test.go
+++ b/cmd/frosthub/figures_test.go
@@ -130,12 +130,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	front, err := stand.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
 	dir := t.TempDir()
 	path := filepath.Join(dir, "figures")
 	box := &stand.Box{Binary: binary, Dir: dir, Listen: address, Processor: p.Address(), StopMS: 500,
-		Conf: "figures file " + path + "\nfigures trail 65536\nfigures periods 60 every 1s\nfigures customers 8\n"}
+		Conf: "ajp listen " + front + "\nfigures file " + path + "\nfigures trail 65536\nfigures periods 60 every 1s\nfigures customers 8\n"}
 	load := stand.Load{Address: address, Conns: 6, Every: 6 * time.Millisecond, Slots: 24, Callers: 20,
 		Handlers: []string{"status", "field-update", "file-claim"}, Abort: 0.05, Close: 0.02, Bad: 0.02, Body: "a field"}
+	stream := stand.Stream{Rate: 250, Handlers: load.Handlers, CostMS: 2, Target: time.Second, Patient: 3 * time.Second, Body: "a field"}
 	r := rand.New(rand.NewPCG(seed, 7))
 	var sums account.Figures // as the edge nodes have them
 	var doubts, most, lives int
@@ -148,9 +153,16 @@
 		lives++
 		tally := stand.NewTally()
 		ctx, stop := context.WithCancel(t.Context())
-		loaded := make(chan struct{})
+		loaded, seeds := make(chan struct{}), [2]uint64{r.Uint64(), r.Uint64()}
 		go func() {
-			load.Run(ctx, tally, r.Uint64())
+			var both sync.WaitGroup
+			both.Go(func() { load.Run(ctx, tally, seeds[0]) })
+			both.Go(func() {
+				jp := stand.NewAJP(front)
+				defer jp.Close()
+				stream.Run(ctx, seeds[1], tally, func(uint64) stand.Asker { return jp })
+			})
+			both.Wait()
 			close(loaded)
 		}()
 		time.Sleep(time.Duration(50+r.IntN(200)) * time.Millisecond)
--- a/internal/ajp/server.go
+++ b/internal/ajp/server.go
@@ -72,6 +72,7 @@
 	body            // parts of a body come
 	answering       // a req is whole, and waits for its answer
 	spoilt          // a req past a limit waits for its answer: what comes is not read
+	over            // it has it: the connection is to end
 )
 
 // Server follows a connection of a front end.
@@ -101,21 +102,24 @@
 func (s *Server) Part() bool { return s.at == body || s.p.have > 0 && s.at == idle }
 
 // Open tells whether a req is being read, or read and not yet answered.
-func (s *Server) Open() bool { return s.at != idle }
+func (s *Server) Open() bool { return s.at != idle && s.at != over }
 
 // Refuse has nothing more read of the req that is being read.
 func (s *Server) Refuse() { s.at, s.body, s.kept, s.p.part = spoilt, nil, nil, nil }
 
 // Done ends a req: its answer is written.
 func (s *Server) Done() {
-	if s.at == answering {
+	switch s.at {
+	case answering:
 		s.at = idle
+	case spoilt:
+		s.at = over
 	}
 }
 
 // Feed takes the next bytes and hands each message to f.
 func (s *Server) Feed(b []byte, f func(Message)) error {
-	if s.at == spoilt {
+	if s.at >= spoilt {
 		return nil // the connection ends with the answer
 	}
 	s.out = f
@@ -128,7 +132,7 @@
 func (s *Server) packet(c []byte) error {
 	f := s.out
 	switch s.at {
-	case spoilt: // refused from outside while this was being read
+	case spoilt, over: // refused from outside while this was being read
 		return errRest
 	case answering:
 		return ErrEarly
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -59,7 +59,7 @@
 			return err
 		}
 	}
-	return backend.Main(func(c *backend.Config) { c.Figures = op.Figures }, func(b *backend.Backend) (func(), error) {
+	return backend.Main(func(c *backend.Config) { c.Figures, c.AJP = op.Figures, op.AJP }, func(b *backend.Backend) (func(), error) {
 		if op.Admin == "" {
 			return func() {}, nil
 		}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,6 +19,7 @@
 type Config struct {
 	Admin   string // where figures are served to the machine itself; empty: nowhere
 	Figures backend.Figures
+	AJP     backend.AJP
 }
 
 // Error is what is wrong at a place of a file.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -26,7 +26,7 @@
 	}
 	for text, want := range map[string]string{
 		"figures":                                         `x.conf:1:1: unknown directive "figures", expected one of: figures file, figures trail, figures periods, figures customers, figures customer-field`,
-		"\n\n  fig file /x":                               `x.conf:3:3: unknown directive "fig file", expected one of: admin listen, figures file, figures trail, figures periods, figures customers, figures customer-field`,
+		"\n\n  fig file /x":                               `x.conf:3:3: unknown directive "fig file", expected one of: admin listen, ajp listen, ajp secret file, ajp packet, figures file, figures trail, figures periods, figures customers, figures customer-field`,
 		"figures file":                                    `x.conf:1:13: "figures file" lacks its path, expected an absolute path on a disk of this machine`,
 		"figures file x":                                  `x.conf:1:14: path "x": no absolute path, expected an absolute path on a disk of this machine`,
 		"figures file /x /y":                              `x.conf:1:17: "/y" is too much for "figures file", expected the end of the line`,
@@ -62,6 +62,7 @@
 	}
 	on, n := "", 0
 	for line := range strings.SplitSeq(string(text), "\n") {
+		line = strings.ReplaceAll(line, "/etc/frosthub/ajp.secret", "/proc/sys/kernel/ostype") // any file of one line
 		if len(line) > 2 && line[0] == '#' && line[1] != ' ' {
 			on += line[1:] + "\n"
 			n++
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -4,9 +4,11 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
 
 	"frosthub/internal/figures"
@@ -38,6 +40,7 @@
 
 const (
 	headerMost = 64 // bytes of the name of a header
+	secretMost = 256
 	periodsTop = 10080
 	customers  = 1024
 )
@@ -46,6 +49,38 @@
 var Directives = []Directive{
 	{Name: "admin listen", Help: "serve /metrics and /figures to programs on this machine",
 		Args: []Arg{{Name: "address", Kind: "a loopback address and a port, as 127.0.0.1:9180", Set: loopback}}},
+	{Name: "ajp listen", Help: "serve front ends that speak AJP/1.3 there",
+		Args: []Arg{{Name: "address", Kind: "an address and a port, as 127.0.0.1:8009", Set: func(c *Config, v string) error {
+			host, port, err := net.SplitHostPort(v)
+			if err != nil {
+				return errors.New("no address with a port")
+			}
+			if net.ParseIP(host) == nil {
+				return errors.New("no address")
+			}
+			if _, err := whole(port, 0, 65535); err != nil {
+				return fmt.Errorf("its port is %w", err)
+			}
+			c.AJP.Listen = v
+			return nil
+		}}}},
+	{Name: "ajp secret file", Needs: "ajp listen", Help: "what each req over AJP must bring; the file's first line",
+		Args: []Arg{{Name: "path", Kind: "a file that can be read, with one line", Set: func(c *Config, v string) error {
+			text, err := os.ReadFile(v)
+			if err != nil {
+				return err
+			}
+			secret, _, _ := strings.Cut(string(text), "\n")
+			if c.AJP.Secret = strings.TrimRight(secret, "\r"); c.AJP.Secret == "" || len(c.AJP.Secret) > secretMost {
+				return errors.New("its first line is empty or too long")
+			}
+			return nil
+		}}}},
+	{Name: "ajp packet", Needs: "ajp listen", Help: "bytes of a packet of AJP at most, as the front ends have it",
+		Args: []Arg{{Name: "number", Kind: "a number from 8192 to 65535", Set: func(c *Config, v string) (err error) {
+			c.AJP.Packet, err = whole(v, 8192, 65535)
+			return err
+		}}}},
 	{Name: "figures file", Help: "record the figures there, so that they outlive the process",
 		Args: []Arg{{Name: "path", Kind: "an absolute path on a disk of this machine", Set: func(c *Config, v string) error {
 			if !filepath.IsAbs(v) {
--- /dev/null
+++ b/internal/stand/ask.go
@@ -0,0 +1,264 @@
+package stand
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"frosthub/internal/ajp"
+)
+
+// Asker sends a req and waits for its answer. Many may ask at a time.
+type Asker interface {
+	Ask(r *Req, patient time.Duration) Outcome
+	Close()
+}
+
+// FastCGI asks over a few connections with 32 slots each.
+type FastCGI struct {
+	address string
+	mu      sync.Mutex
+	conns   []*slots
+}
+
+type slots struct {
+	c    net.Conn
+	open map[uint16]chan fcgiAnswer
+	next uint16
+	dead bool
+}
+
+// NewFastCGI asks at that address.
+func NewFastCGI(address string) *FastCGI { return &FastCGI{address: address} }
+
+// Ask sends a req on a connection with a free slot.
+func (a *FastCGI) Ask(r *Req, patient time.Duration) Outcome {
+	a.mu.Lock()
+	var s *slots
+	for _, k := range a.conns {
+		if !k.dead && len(k.open) < 31 {
+			s = k
+		}
+	}
+	if s == nil {
+		c, err := net.Dial("tcp", a.address)
+		if err != nil {
+			a.mu.Unlock()
+			return NotSent
+		}
+		s = &slots{c: c, open: map[uint16]chan fcgiAnswer{}}
+		a.conns = append(a.conns, s)
+		go a.read(s)
+	}
+	for s.next++; s.next == 0 || s.open[s.next] != nil; s.next++ {
+	}
+	slot, answer := s.next, make(chan fcgiAnswer, 1)
+	s.open[slot] = answer
+	_, err := io.WriteString(s.c, r.FastCGI(slot))
+	a.mu.Unlock()
+	if err != nil {
+		return NotSent
+	}
+	select {
+	case got, ok := <-answer:
+		switch {
+		case !ok:
+			return Sent
+		case got.bare && got.status == 2:
+			return Refused
+		case got.bare:
+			return Failed
+		}
+		return OutcomeOf(got.text, Result(r.ID, r.Body))
+	case <-time.After(patient):
+		a.mu.Lock()
+		_, _ = io.WriteString(s.c, Abort(slot))
+		a.mu.Unlock()
+		return Sent
+	}
+}
+
+func (a *FastCGI) read(s *slots) {
+	_ = readFastCGI(bufio.NewReader(s.c), func(got fcgiAnswer) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if answer := s.open[got.slot]; answer != nil {
+			delete(s.open, got.slot)
+			answer <- got
+		}
+	})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s.dead = true
+	for _, answer := range s.open {
+		close(answer)
+	}
+	s.open = nil
+}
+
+// Close ends all connections.
+func (a *FastCGI) Close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.conns {
+		_ = s.c.Close()
+	}
+}
+
+// AJP asks over as many connections as there are reqs at a time, and keeps them.
+type AJP struct {
+	Secret string
+	Packet int // ajp.PacketUsual if 0
+
+	address string
+	mu      sync.Mutex
+	idle    []net.Conn
+}
+
+// NewAJP asks at that address.
+func NewAJP(address string) *AJP { return &AJP{address: address} }
+
+// Answer is what an AJP server said.
+type Answer struct {
+	Status int
+	Fields map[string]string
+	Body   string
+	Reuse  bool
+}
+
+// Ask sends a req on an idle connection, or a new one.
+func (a *AJP) Ask(r *Req, patient time.Duration) Outcome {
+	got, outcome := a.Exchange(r, patient)
+	if outcome != Served {
+		return outcome
+	}
+	switch {
+	case got.Status == 200 && got.Body == Result(r.ID, r.Body):
+		return Served
+	case got.Status == 200:
+		return Wrong
+	case got.Status == 429 || got.Status == 503:
+		return Refused
+	}
+	return Failed
+}
+
+// Exchange sends a req and gives its whole answer: Served if there is one, whatever it says.
+func (a *AJP) Exchange(r *Req, patient time.Duration) (Answer, Outcome) {
+	a.mu.Lock()
+	var c net.Conn
+	used := len(a.idle) > 0
+	if used {
+		c = a.idle[len(a.idle)-1]
+		a.idle = a.idle[:len(a.idle)-1]
+	}
+	a.mu.Unlock()
+	if c == nil {
+		var err error
+		if c, err = net.Dial("tcp", a.address); err != nil {
+			return Answer{}, NotSent
+		}
+	}
+	most := a.Packet
+	if most == 0 {
+		most = ajp.PacketUsual
+	}
+	f := ajp.Forward{Path: "/invoke/" + r.Handler, Secret: a.Secret, Body: []byte(r.Body)}
+	r.fields(func(name, value string) { f.Fields = append(f.Fields, ajp.Field{Name: name, Value: value}) })
+	_ = c.SetDeadline(time.Now().Add(patient))
+	p := ajp.NewClient(most)
+	p.Waiting = true
+	if _, err := c.Write(ajp.AppendForward(nil, &f, most)); err != nil {
+		_ = c.Close()
+		return Answer{}, NotSent
+	}
+	var got Answer
+	done := false
+	buf := make([]byte, 4<<10)
+	for !done {
+		n, err := c.Read(buf)
+		if n > 0 {
+			if p.Feed(buf[:n], func(x ajp.Answer) {
+				if x.Kind == ajp.Whole {
+					done = true
+					got = Answer{Status: x.Status, Body: string(x.Body), Reuse: x.Reuse, Fields: map[string]string{}}
+					x.Fields.Each(func(name, value []byte) { got.Fields[string(name)] = string(value) })
+				}
+			}) != nil {
+				_ = c.Close()
+				return Answer{}, Wrong
+			}
+		}
+		if err != nil && !done {
+			_ = c.Close()
+			return Answer{}, Sent
+		}
+	}
+	if !got.Reuse {
+		_ = c.Close()
+		return got, Served
+	}
+	a.mu.Lock()
+	a.idle = append(a.idle, c)
+	a.mu.Unlock()
+	return got, Served
+}
+
+// Close ends the idle connections.
+func (a *AJP) Close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range a.idle {
+		_ = c.Close()
+	}
+	a.idle = nil
+}
+
+// Stream is reqs that come by chance, whether others are answered or not.
+type Stream struct {
+	Rate     float64 // a second
+	Handlers []string
+	CostMS   float64
+	Target   time.Duration // an answer later than this is worth nothing
+	Patient  time.Duration
+	Body     string
+	Value    map[string]float64
+}
+
+// Run asks until the context is done and waits for all answers. It gives the service figure: the value answered
+// within the target over the value asked for. The same seed asks the same at the same times.
+func (s Stream) Run(ctx context.Context, seed uint64, tally *Tally, ask func(id uint64) Asker) float64 {
+	r := rand.New(rand.NewPCG(seed, 1))
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var asked, got float64
+	start, at := time.Now(), time.Duration(0)
+	for {
+		at += time.Duration(r.ExpFloat64() / s.Rate * float64(time.Second))
+		req := Req{ID: r.Uint64() | 1, Handler: s.Handlers[r.IntN(len(s.Handlers))], Caller: r.IntN(4), CostMS: s.CostMS, Body: s.Body}
+		select {
+		case <-ctx.Done():
+			all.Wait()
+			return got / asked
+		case <-time.After(time.Until(start.Add(at))):
+		}
+		value := s.Value[req.Handler]
+		asked += value
+		tally.Set(req.ID, Sent)
+		all.Go(func() {
+			began := time.Now()
+			req.Start = began.UnixMilli()
+			o := ask(req.ID).Ask(&req, s.Patient)
+			tally.Set(req.ID, o)
+			if o == Served && time.Since(began) <= s.Target {
+				mu.Lock()
+				got += value
+				mu.Unlock()
+			}
+		})
+	}
+}
