Calls to a next tier of AJP servers, by the peers that route picks

Cause: the next tier may be several AJP servers behind no proxy; calls must go to those that work, and none that may have run be made again but by the module's wish.

backend/peers.go is the sockets' side: a connection a call, CPing before one that was idle or a peer in doubt, another peer only where the call is proved never to have run. next-tier ajp, next-tier secret file and route ... stand in the operator's file; SIGHUP changes peers while calls are open, those that stay keep their state. route: the budget starts full, a peer that declines in a row gets a trial's share (both seen on sockets: turned away calls beside two peers with room were given up).

Measured: internal/stand has an AJP server with nine faults on schedule; of three peers one with each fault: no claim's call runs twice; with one away, or turning away, all are served.

--- a/backend/ajp.go
+++ b/backend/ajp.go
@@ -94,6 +94,7 @@
 			return
 		}
 		a := f.newAsked(e, ajpSlot, true, m.Body)
+		a.r.route = string(m.Route)
 		a.set(pathField, m.Path)
 		a.set(queryField, m.Query)
 		m.Headers.Each(func(name, v []byte) { a.set(x.field(name), v) })
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -67,7 +67,7 @@
 	closed    bool // the listening socket
 	door      door
 	link      link
-	tier      tier
+	tier      nextTier
 	lease     lease
 	keys      keys
 	count     Counters
@@ -114,7 +114,11 @@
 	}
 	b.door.init(b)
 	b.link.init(b)
-	b.tier.init(b)
+	if len(cfg.NextAJP.Route.Peers) > 0 {
+		b.tier = newPeers(b)
+	} else {
+		b.tier = newTier(b)
+	}
 	b.keys.init(b)
 	return b
 }
@@ -136,7 +140,10 @@
 	}
 	b.cfg.Processor, b.cfg.NextTier, b.cfg.Control, b.cfg.Stop = cfg.Processor, cfg.NextTier, cfg.Control, cfg.Stop
 	b.link.move(cfg.Processor)
-	b.tier.move(cfg.NextTier)
+	if len(cfg.NextAJP.Route.Peers) > 0 == (len(b.cfg.NextAJP.Route.Peers) > 0) { // else it takes a new process
+		b.cfg.NextAJP = cfg.NextAJP
+		b.tier.move(&cfg)
+	}
 	b.log.Info("configuration read anew", "processor", cfg.Processor, "next_tier", cfg.NextTier, "control", cfg.Control)
 }
 
@@ -325,7 +332,7 @@
 	b.compare()
 	b.book.Audit(b.wall)
 	b.tellDifferences()
-	invariant.Check(calls == len(b.tier.calls), "calls in hand are those of reqs")
+	invariant.Check(calls == b.tier.inHand(), "calls in hand are those of reqs")
 	invariant.Check(float64(b.keys.kept) <= b.share(keptShare), "kept results stay within their bound")
 }
 
--- a/backend/config.go
+++ b/backend/config.go
@@ -29,6 +29,7 @@
 	Settings  map[string]any // in the module's names
 	Figures   Figures        // of the operator, as what follows
 	AJP       AJP
+	NextAJP   NextAJP // instead of NextTier
 }
 
 // Limits are those of the process.
--- a/backend/main.go
+++ b/backend/main.go
@@ -13,7 +13,7 @@
 // Main runs one backend as a process: configuration from the environment, log on standard error, SIGTERM to
 // leave, SIGHUP to read the configuration anew, SIGUSR1 to print the counters. The operator's settings are put in by set;
 // up starts what is served beside it, and gives what ends that.
-func Main(set func(*Config), up func(*Backend) (stop func(), err error)) error {
+func Main(set func(*Config) error, up func(*Backend) (stop func(), err error)) error {
 	asked := make(chan os.Signal, 8)
 	signal.Notify(asked, syscall.SIGHUP, syscall.SIGUSR1) // before all else: unheeded they end the process
 	defer signal.Stop(asked)
@@ -21,7 +21,9 @@
 	if err != nil {
 		return err
 	}
-	set(&cfg)
+	if err := set(&cfg); err != nil {
+		return err
+	}
 	cfg.Limits.Apply()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -39,7 +41,7 @@
 		for {
 			select {
 			case s := <-asked:
-				b.heed(s)
+				b.heed(s, set)
 			case <-done:
 				return
 			}
@@ -49,12 +51,15 @@
 }
 
 // heed follows a signal. A configuration that can't be used changes nothing.
-func (b *Backend) heed(s os.Signal) {
+func (b *Backend) heed(s os.Signal, set func(*Config) error) {
 	if s == syscall.SIGUSR1 {
 		b.log.Info("counters", "counters", b.Counters())
 		return
 	}
 	cfg, err := Load()
+	if err == nil {
+		err = set(&cfg)
+	}
 	if err != nil {
 		b.log.Error("configuration not taken", "why", err)
 		return
--- /dev/null
+++ b/backend/peers.go
@@ -0,0 +1,394 @@
+package backend
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"frosthub/internal/ajp"
+	"frosthub/internal/conn"
+	"frosthub/internal/invariant"
+	"frosthub/overload"
+	"frosthub/route"
+)
+
+const (
+	trustIdle = time.Second            // idle for longer a connection is asked whether anybody is there before a call
+	pongWait  = 100 * time.Millisecond // for that answer: it needs no work
+	peerIdle  = 30 * time.Second       // without a call a connection is closed
+)
+
+// NextAJP is a next tier of several servers that speak AJP. Without peers there is none.
+type NextAJP struct {
+	Route  route.Config
+	Secret string // that each call brings; empty: none
+}
+
+// nextTier makes calls. Which are made is the module's.
+type nextTier interface {
+	room() int // connections it may hold
+	invoke(r *req, after time.Duration)
+	cancel(r *req) // gives up the call of a req, if there is one
+	move(cfg *Config)
+	lookAtTime()
+	inHand() int
+	connections() int
+}
+
+// peers makes calls over AJP to the peers that route picks. A call goes to another peer only where it is proved never to
+// have run; one that may have run is the module's to make again.
+type peers struct {
+	b     *Backend
+	r     *route.Router
+	pools map[*route.Target]*pool
+	calls map[uint64]*call
+	wires int // connections, and those being dialled
+}
+
+// pool is the connections to a peer.
+type pool struct {
+	idle []*peerWire // free ones, the last used at the end
+}
+
+// peerWire is one connection to a peer.
+type peerWire struct {
+	c    *conn.Conn
+	p    *ajp.Client
+	at   *route.Target
+	k    *call         // in hand; nil idle
+	pong time.Duration // asked whether anybody is there, and waiting until then; 0 not
+	rest []byte        // of the body, still to be asked for
+	used time.Duration
+	sent int // bytes that had left or waited before the call
+}
+
+var dontRetryName = []byte("X-Dont-Retry")
+
+var errNoPong = errors.New("nobody answers there")
+
+func newPeers(b *Backend) *peers {
+	p := &peers{b: b, pools: map[*route.Target]*pool{}, calls: map[uint64]*call{}}
+	cfg := b.cfg.NextAJP.Route
+	cfg.Seed = b.cfg.Seed
+	p.r = route.New(cfg)
+	return p
+}
+
+func (p *peers) room() int        { return max(1, int(wireShare*float64(p.b.cfg.Limits.Sockets))) }
+func (p *peers) inHand() int      { return len(p.calls) }
+func (p *peers) connections() int { return p.wires }
+
+func (p *peers) invoke(r *req, after time.Duration) {
+	b := p.b
+	b.count.Calls++
+	k := &call{r: r, began: b.now, till: b.now + after}
+	r.at, r.call = calling, k
+	p.calls[r.id] = k
+	p.place(k)
+}
+
+// place has a peer picked for a call, and gives it a connection there.
+func (p *peers) place(k *call) {
+	b := p.b
+	k.at = p.r.Pick(b.now, k.r.route, k.tried...)
+	if k.at == nil {
+		p.end(k, cmp.Or(k.proved, overload.Full))
+		return
+	}
+	l := p.pool(k.at)
+	if n := len(l.idle); n > 0 {
+		w := l.idle[n-1]
+		l.idle = l.idle[:n-1]
+		w.k, k.jw = k, w
+		if b.now-w.used < trustIdle && !k.at.Doubtful() {
+			p.send(w)
+			return
+		}
+		p.ping(w)
+		return
+	}
+	if p.wires >= p.room() && !p.closeOldest() {
+		p.r.Done(b.now, k.at, route.Dropped)
+		k.at = nil
+		p.end(k, overload.Full)
+		return
+	}
+	p.wires++
+	at := k.at
+	b.box.Dial(at.Address, func(c *conn.Conn, err error) { p.dialled(at, k, c, err) })
+}
+
+func (p *peers) pool(t *route.Target) *pool {
+	l := p.pools[t]
+	if l == nil {
+		l = &pool{}
+		p.pools[t] = l
+	}
+	return l
+}
+
+// closeOldest makes room by the connection that is idle for longest, and tells whether there is one.
+func (p *peers) closeOldest() bool {
+	var oldest *peerWire
+	for _, l := range p.pools { // a minimum: among equals any will do
+		if len(l.idle) > 0 && (oldest == nil || l.idle[0].used < oldest.used) {
+			oldest = l.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.close(oldest)
+	return true
+}
+
+func (p *peers) dialled(at *route.Target, k *call, c *conn.Conn, err error) {
+	b := p.b
+	waits := k.r.call == k && k.at == at && k.jw == nil
+	if err != nil {
+		p.wires--
+		b.note("next tier not reached", "peer", at.Address, "why", err)
+		if waits {
+			p.elsewhere(k, route.Fault, overload.NoConnection)
+		}
+		return
+	}
+	w := &peerWire{c: c, p: ajp.NewClient(b.cfg.AJP.packet()), at: at, used: b.now}
+	c.Most = wireMost
+	c.Data = b.noting("bad reply", func(text []byte) error {
+		return w.p.Feed(text, func(a ajp.Answer) { p.answer(w, a) })
+	})
+	c.Closed = func(error) { p.closed(w) }
+	if !waits {
+		p.free(w)
+		return
+	}
+	w.k, k.jw = k, w
+	if at.Doubtful() {
+		p.ping(w)
+		return
+	}
+	p.send(w)
+}
+
+// ping asks whether anybody is there before a call goes out.
+func (p *peers) ping(w *peerWire) {
+	w.pong = p.b.now + pongWait
+	p.b.at(w.pong)
+	p.b.scratch = ajp.AppendCPing(p.b.scratch[:0])
+	w.c.Write(p.b.scratch)
+}
+
+// elsewhere follows the proof that a call never ran at its peer: another may have it.
+func (p *peers) elsewhere(k *call, how route.Outcome, proved overload.Outcome) {
+	p.r.Done(p.b.now, k.at, how)
+	k.tried = append(k.tried, k.at)
+	k.at, k.jw, k.proved = nil, nil, proved
+	if p.b.now >= k.till {
+		p.end(k, proved)
+		return
+	}
+	p.place(k)
+}
+
+// send writes the call of a connection.
+func (p *peers) send(w *peerWire) {
+	b, k := p.b, w.k
+	r := k.r
+	w.pong, w.used, w.sent = 0, b.now, w.c.Mark()
+	w.p.Waiting = true
+	left := max(1, (k.till - b.now).Milliseconds())
+	f := ajp.Forward{Path: "/invoke/" + b.handlers[r.h].name, Secret: b.cfg.NextAJP.Secret, Body: r.ask, Fields: []ajp.Field{
+		{Name: "X-Request-Id", Value: r.name},
+		{Name: "X-Request-Start", Value: strconv.FormatInt(b.unix, 10)},
+		{Name: "X-Timeout-Ms", Value: strconv.FormatInt(left, 10)},
+		{Name: "X-Caller", Value: strconv.Itoa(r.ev.Caller)},
+		{Name: "X-Memory-Kb", Value: strconv.FormatFloat(r.ev.Size, 'f', -1, 64)},
+		{Name: "X-Rank", Value: strconv.FormatFloat(r.ev.Rank, 'f', -1, 64)},
+	}}
+	most := b.cfg.AJP.packet()
+	b.scratch = ajp.AppendForward(b.scratch[:0], &f, most)
+	w.rest = r.ask[min(len(r.ask), ajp.PartMost(most)):]
+	w.c.Write(b.scratch)
+}
+
+func (p *peers) answer(w *peerWire, a ajp.Answer) {
+	b, k := p.b, w.k
+	switch a.Kind {
+	case ajp.CPong:
+		if w.pong > 0 {
+			p.send(w)
+		}
+		return
+	case ajp.Wants:
+		if k != nil {
+			b.scratch, w.rest = ajp.AppendPart(b.scratch[:0], w.rest, min(b.cfg.AJP.packet(), a.Room+ajp.PartAround))
+			w.c.Write(b.scratch)
+		}
+		return
+	}
+	if k == nil {
+		return // given up: the connection is being closed
+	}
+	w.k, k.jw, w.used = nil, nil, b.now
+	if a.Reuse {
+		p.free(w)
+	} else {
+		p.close(w)
+	}
+	switch a.Status {
+	case 200:
+		p.r.Done(b.now, k.at, route.Good)
+		k.at = nil
+		b.link.answer(k.r, a.Body)
+		p.end(k, overload.OK)
+	case 429, 503: // it never ran
+		here := false
+		a.Fields.Each(func(name, value []byte) {
+			here = here || bytes.EqualFold(name, dontRetryName) && string(value) == "1"
+		})
+		if here {
+			p.r.Done(b.now, k.at, route.Declined)
+			k.at = nil
+			p.end(k, overload.Full)
+			return
+		}
+		p.elsewhere(k, route.Declined, overload.Full)
+	default:
+		how := overload.Errored
+		if a.Status == 504 {
+			how = overload.TimedOut
+		}
+		p.r.Done(b.now, k.at, route.Good)
+		k.at = nil
+		p.end(k, how)
+	}
+}
+
+// free has a connection wait for the next call.
+func (p *peers) free(w *peerWire) {
+	if w.at.Gone {
+		p.close(w)
+		return
+	}
+	l := p.pool(w.at)
+	l.idle = append(l.idle, w)
+}
+
+// close ends a connection; what was in hand there is another's matter.
+func (p *peers) close(w *peerWire) {
+	if w.c == nil {
+		return
+	}
+	l := p.pool(w.at)
+	l.idle = slices.DeleteFunc(l.idle, func(o *peerWire) bool { return o == w })
+	if w.at.Gone && len(l.idle) == 0 {
+		delete(p.pools, w.at)
+	}
+	c := w.c
+	w.c = nil
+	p.wires--
+	c.Close(conn.ErrDone)
+}
+
+// closed follows the end of a connection. A call of which no byte had left, or that waited for a CPong, never ran; of
+// another nothing is proved.
+func (p *peers) closed(w *peerWire) {
+	k, c := w.k, w.c
+	if c == nil {
+		return // closed here
+	}
+	w.k = nil
+	p.close(w)
+	switch {
+	case k == nil:
+	case w.pong > 0 || c.Sent() <= w.sent:
+		p.elsewhere(k, route.Fault, overload.NoConnection)
+	default:
+		p.r.Done(p.b.now, k.at, route.Fault)
+		k.at, k.jw = nil, nil
+		p.end(k, overload.BrokenOff)
+	}
+}
+
+func (p *peers) end(k *call, how overload.Outcome) {
+	invariant.Check(k.at == nil, "a call that ends is at no peer")
+	delete(p.calls, k.r.id)
+	k.r.call, k.r.at = nil, asking
+	p.b.callEnded(k, how)
+}
+
+// drop takes a call from its peer, of which nothing is known, and ends its connection: AJP has no other abort.
+func (p *peers) drop(k *call, how route.Outcome) {
+	if k.at != nil {
+		p.r.Done(p.b.now, k.at, how)
+		k.at = nil
+	}
+	if w := k.jw; w != nil {
+		w.k, k.jw = nil, nil
+		p.close(w)
+	}
+}
+
+func (p *peers) cancel(r *req) {
+	k := r.call
+	if k == nil {
+		return
+	}
+	p.drop(k, route.Dropped)
+	delete(p.calls, r.id)
+	r.call, r.at = nil, asking
+}
+
+// move has new calls go to other peers; what is in hand may finish.
+func (p *peers) move(cfg *Config) {
+	r := cfg.NextAJP.Route
+	r.Seed = p.b.cfg.Seed
+	p.r.Update(r)
+	for t, l := range p.pools { // each alike
+		if t.Gone {
+			for len(l.idle) > 0 {
+				p.close(l.idle[len(l.idle)-1])
+			}
+		}
+	}
+}
+
+// lookAtTime gives up the calls whose time has passed, peers that do not answer CPing, and idle connections.
+func (p *peers) lookAtTime() {
+	b := p.b
+	for _, id := range slices.Sorted(maps.Keys(p.calls)) {
+		k := p.calls[id]
+		if k == nil {
+			continue // ended by one before it
+		}
+		switch w := k.jw; {
+		case b.now >= k.till+callGrace:
+			how := route.Silent
+			if w == nil || w.pong > 0 { // it never got that far
+				how = route.Fault
+			}
+			p.drop(k, how)
+			p.end(k, overload.TimedOut)
+		case w != nil && w.pong > 0 && b.now >= w.pong:
+			b.note("next tier not reached", "peer", w.at.Address, "why", errNoPong)
+			w.k = nil
+			p.close(w)
+			p.elsewhere(k, route.Fault, overload.NoConnection)
+		default:
+			b.at(k.till + callGrace)
+			if w != nil && w.pong > 0 {
+				b.at(w.pong)
+			}
+		}
+	}
+	for _, l := range p.pools { // each alike
+		for len(l.idle) > 0 && b.now-l.idle[0].used >= peerIdle {
+			p.close(l.idle[0])
+		}
+	}
+}
--- a/backend/req.go
+++ b/backend/req.go
@@ -23,11 +23,12 @@
 
 // req is one req from reading to the end of its run.
 type req struct {
-	id   uint64
-	name string // the id as it came
-	h    int
-	body []byte
-	at   place
+	id    uint64
+	name  string // the id as it came
+	h     int
+	route string // of the worker that its calls stick to; empty: any
+	body  []byte
+	at    place
 
 	ticket account.Ticket
 	edge   *edge // who waits for the answer; nil once it is given or nobody does
--- a/backend/signal_test.go
+++ b/backend/signal_test.go
@@ -23,7 +23,9 @@
 	}
 	write(s.text())
 	ended := make(chan error, 1)
-	go func() { ended <- Main(func(*Config) {}, func(*Backend) (func(), error) { return func() {}, nil }) }()
+	go func() {
+		ended <- Main(func(*Config) error { return nil }, func(*Backend) (func(), error) { return func() {}, nil })
+	}()
 	got := s.settle(2)
 	whole := s.text()
 	for _, bad := range [][]byte{nil, whole[:len(whole)/2], []byte("[]"), []byte(`{"name":"n3"}`)} {
--- a/backend/tier.go
+++ b/backend/tier.go
@@ -8,6 +8,7 @@
 	"frosthub/internal/conn"
 	"frosthub/internal/nexttier"
 	"frosthub/overload"
+	"frosthub/route"
 )
 
 const (
@@ -54,10 +55,15 @@
 	sent  time.Duration // when it was written
 	idle  time.Duration // of the connection before
 	mark  int           // bytes written there before
+
+	at     *route.Target    // over AJP: its peer
+	jw     *peerWire        // and its connection; nil while that is dialled
+	tried  []*route.Target  // peers at which it is proved never to have run
+	proved overload.Outcome // and what the last of them proved
 }
 
-func (t *tier) init(b *Backend) {
-	t.b, t.address, t.safe, t.wires, t.calls = b, b.cfg.NextTier, wireIdle, map[*wire]struct{}{}, map[uint64]*call{}
+func newTier(b *Backend) *tier {
+	return &tier{b: b, address: b.cfg.NextTier, safe: wireIdle, wires: map[*wire]struct{}{}, calls: map[uint64]*call{}}
 }
 
 // room is how many connections it may hold.
@@ -233,8 +239,13 @@
 
 func (t *tier) end(k *call, how overload.Outcome) {
 	b := t.b
-	r := k.r
 	t.letGo(k)
+	b.callEnded(k, how)
+}
+
+// callEnded tells the module of the end of a call.
+func (b *Backend) callEnded(k *call, how overload.Outcome) {
+	r := k.r
 	r.unserved = how != overload.OK
 	if how == overload.OK {
 		b.count.CallsOK++
@@ -274,8 +285,12 @@
 	}
 }
 
+func (t *tier) inHand() int      { return len(t.calls) }
+func (t *tier) connections() int { return len(t.wires) }
+
 // move has new calls go to another address; what is in hand may finish.
-func (t *tier) move(address string) {
+func (t *tier) move(cfg *Config) {
+	address := cfg.NextTier
 	if address == t.address {
 		return
 	}
--- /dev/null
+++ b/cmd/frosthub/peers_test.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"frosthub/internal/stand"
+)
+
+// tier is a box with a next tier of AJP servers.
+type tier struct {
+	p     *stand.Processor
+	peers []*stand.AJPServer
+	box   *stand.Box
+	front *stand.FastCGI
+	lines string // of the operator's file beside the peers
+}
+
+func newTier(t *testing.T, n int, lines string) *tier {
+	t.Helper()
+	p, err := stand.NewProcessor(8, func(uint64, string) time.Duration { return time.Millisecond })
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Calls = func(uint64, string) bool { return true }
+	x := &tier{p: p, lines: lines}
+	for range n {
+		s, err := stand.NewAJPServer(3 * time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.peers = append(x.peers, s)
+	}
+	address, err := stand.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.box = &stand.Box{Binary: binary, Dir: t.TempDir(), Listen: address, Processor: p.Address(), StopMS: 1000, Conf: x.conf(x.peers)}
+	if err := x.box.Start(); err != nil {
+		t.Fatal(err)
+	}
+	x.front = stand.NewFastCGI(address)
+	t.Cleanup(func() {
+		x.front.Close()
+		_ = x.box.Kill()
+		p.Close()
+		for _, s := range x.peers {
+			s.Leave()
+		}
+	})
+	return x
+}
+
+func (x *tier) conf(peers []*stand.AJPServer) string {
+	var b strings.Builder
+	for i, s := range peers {
+		fmt.Fprintf(&b, "next-tier ajp %s route=w%d\n", s.Address(), i)
+	}
+	return b.String() + x.lines
+}
+
+// ask sends so many reqs one after the other.
+func (x *tier) ask(from uint64, n int, handler string) (served int) {
+	for i := range n {
+		r := stand.Req{ID: from + uint64(i), Handler: handler, Start: time.Now().UnixMilli(), CostMS: 1, Body: "a policy"}
+		if x.front.Ask(&r, 4*time.Second) == stand.Served {
+			served++
+		}
+	}
+	return served
+}
+
+func (x *tier) ran() map[uint64]int {
+	out := map[uint64]int{}
+	for _, s := range x.peers {
+		for id, n := range s.Ran() {
+			out[id] += n
+		}
+	}
+	return out
+}
+
+// TestCallsOverAJP: calls go to the peer that works; what is proved never to have run goes elsewhere, what may have run is
+// made again only where it may run again.
+func TestCallsOverAJP(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		fault         stand.Fault
+		claims, reads int // of ten, served at least
+	}{
+		{"sound", stand.NoFault, 10, 10},
+		{"turns away", stand.TurnsAway, 10, 10},
+		{"resets before", stand.ResetBefore, 7, 7}, // the box can't know that it did not run
+		{"resets after", stand.ResetAfter, 7, 7},
+		{"half an answer", stand.HalfAnswer, 7, 7},
+		{"wrong length", stand.WrongLength, 7, 7},
+		{"fails", stand.Fails, 3, 3}, // it works, it says
+		{"never says", stand.NeverSays, 5, 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			x := newTier(t, 3, "")
+			x.peers[1].SetFault(c.fault)
+			claims := x.ask(100, 10, "file-claim")
+			reads := x.ask(200, 10, "status")
+			if claims < c.claims || reads < c.reads {
+				t.Errorf("%d claims and %d reads of ten are served; %s", claims, reads, x.box.Log())
+			}
+			for id, n := range x.ran() {
+				if n > 1 && id < 200 {
+					t.Errorf("the call of claim %d ran %d times", id, n)
+				}
+			}
+		})
+	}
+	t.Run("away", func(t *testing.T) {
+		t.Parallel()
+		x := newTier(t, 3, "")
+		x.peers[0].Leave()
+		if n := x.ask(1, 20, "file-claim"); n != 20 {
+			t.Error(n, "of 20 with one peer away: ", x.box.Log())
+		}
+		if x.peers[1].Got()+x.peers[2].Got() != 20 {
+			t.Error("calls that are not where they must be")
+		}
+		if err := x.peers[0].Return(); err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(10 * time.Second); x.peers[0].Got() < 20; {
+			if time.Now().After(end) {
+				t.Fatal("it is back and gets nothing")
+			}
+			x.ask(uint64(time.Now().UnixNano()), 5, "status")
+		}
+	})
+	t.Run("all away", func(t *testing.T) {
+		t.Parallel()
+		x := newTier(t, 2, "")
+		x.peers[0].Leave()
+		x.peers[1].Leave()
+		start := time.Now()
+		if n := x.ask(1, 5, "file-claim"); n != 0 || time.Since(start) > 3*time.Second {
+			t.Error(n, "served by nobody, in ", time.Since(start))
+		}
+		for _, s := range x.peers {
+			if err := s.Return(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for end := time.Now().Add(10 * time.Second); x.ask(uint64(time.Now().UnixNano()), 1, "file-claim") == 0; {
+			if time.Now().After(end) {
+				t.Fatal("all are back and nothing is served")
+			}
+		}
+	})
+	t.Run("no pong", func(t *testing.T) {
+		t.Parallel()
+		x := newTier(t, 2, "")
+		x.ask(1, 4, "file-claim")
+		x.peers[0].SetFault(stand.NoPong)
+		time.Sleep(1100 * time.Millisecond) // connections idle for over a second are asked first
+		if n := x.ask(10, 6, "file-claim"); n < 5 {
+			t.Error(n, "of 6 beside a peer that does not answer CPing")
+		}
+		if x.peers[0].Pings() == 0 {
+			t.Error("nobody asked")
+		}
+		for id, n := range x.ran() {
+			if n > 1 {
+				t.Errorf("the call of claim %d ran %d times", id, n)
+			}
+		}
+	})
+	t.Run("reload", func(t *testing.T) {
+		t.Parallel()
+		x := newTier(t, 3, "")
+		ctx, stop := context.WithCancel(t.Context())
+		tally := stand.NewTally()
+		loaded := make(chan struct{})
+		go func() {
+			stand.Stream{Rate: 150, Handlers: []string{"file-claim"}, CostMS: 1, Target: time.Second, Patient: 4 * time.Second,
+				Body: "x"}.Run(ctx, 5, tally, func(uint64) stand.Asker { return x.front })
+			close(loaded)
+		}()
+		for i := range 6 { // one peer leaves the file, another returns
+			time.Sleep(200 * time.Millisecond)
+			left := append(append([]*stand.AJPServer{}, x.peers[:i%3]...), x.peers[i%3+1:]...)
+			if err := os.WriteFile(filepath.Join(x.box.Dir, "frosthub.conf"), []byte(x.conf(left)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if err := x.box.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+		}
+		stop()
+		<-loaded
+		all := tally.All()
+		if n := tally.Count(stand.Served); n < len(all)*98/100 {
+			t.Errorf("%d of %d are served over six reloads: %s", n, len(all), x.box.Log())
+		}
+		for id, n := range x.ran() {
+			if n > 1 {
+				t.Errorf("the call of claim %d ran %d times", id, n)
+			}
+		}
+	})
+}
--- a/internal/ajp/client.go
+++ b/internal/ajp/client.go
@@ -174,3 +174,9 @@
 func AppendCPing(b []byte) []byte {
 	return packet(b, toServer0, toServer1, func(b []byte) []byte { return append(b, codeCPing) })
 }
+
+// PartAround is what stands around a part of a body, in bytes; PartMost how much of one a packet of that size takes.
+const PartAround = headLen + 2
+
+// PartMost is how many bytes of a body a packet of at most so many bytes takes.
+func PartMost(most int) int { return most - PartAround }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -53,13 +53,16 @@
 
 func serve(conf string) error {
 	var op operator.Config
-	if conf != "" {
-		var err error
-		if op, err = operator.Load(conf); err != nil {
-			return err
+	set := func(c *backend.Config) (err error) { // at the start, and anew at SIGHUP
+		if conf != "" {
+			if op, err = operator.Load(conf); err != nil {
+				return err
+			}
 		}
+		c.Figures, c.AJP, c.NextAJP = op.Figures, op.AJP, op.NextAJP
+		return nil
 	}
-	return backend.Main(func(c *backend.Config) { c.Figures, c.AJP = op.Figures, op.AJP }, func(b *backend.Backend) (func(), error) {
+	return backend.Main(set, func(b *backend.Backend) (func(), error) {
 		if op.Admin == "" {
 			return func() {}, nil
 		}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/alecthomas/participle/v2"
@@ -20,6 +21,7 @@
 	Admin   string // where figures are served to the machine itself; empty: nowhere
 	Figures backend.Figures
 	AJP     backend.AJP
+	NextAJP backend.NextAJP
 }
 
 // Error is what is wrong at a place of a file.
@@ -124,7 +126,7 @@
 	if d == nil {
 		return wrong(words[0], fmt.Sprintf("unknown directive %q", text(words)), nearest(words))
 	}
-	if at := seen[d.Name]; at != nil {
+	if at := seen[d.Name]; at != nil && !d.Many {
 		return wrong(words[0], fmt.Sprintf("%q again", d.Name), fmt.Sprintf("it once: it stands on line %d", at.Pos.Line))
 	}
 	seen[d.Name] = words[0]
@@ -142,6 +144,16 @@
 		}
 		rest = rest[1:]
 	}
+	for ; len(rest) > 0; rest = rest[1:] {
+		name, value, ok := strings.Cut(rest[0].Text, "=")
+		i := slices.IndexFunc(d.Options, func(a Arg) bool { return a.Name == name })
+		if !ok || i < 0 {
+			break
+		}
+		if err := d.Options[i].Set(c, value); err != nil {
+			return wrong(rest[0], fmt.Sprintf("%s %q: %v", name, value, err), d.Options[i].Expected())
+		}
+	}
 	if len(rest) > 0 {
 		return wrong(rest[0], fmt.Sprintf("%q is too much for %q", rest[0].Text, d.Name), "the end of the line")
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -21,12 +21,12 @@
 	if diff := cmp.Diff(want, got); diff != "" || err != nil {
 		t.Error(diff, err)
 	}
-	if got, err = Parse("x.conf", ""); err != nil || got != (Config{}) {
+	if got, err = Parse("x.conf", ""); err != nil || !cmp.Equal(got, Config{}) {
 		t.Error(got, err)
 	}
 	for text, want := range map[string]string{
 		"figures":                                         `x.conf:1:1: unknown directive "figures", expected one of: figures file, figures trail, figures periods, figures customers, figures customer-field`,
-		"\n\n  fig file /x":                               `x.conf:3:3: unknown directive "fig file", expected one of: admin listen, ajp listen, ajp secret file, ajp packet, figures file, figures trail, figures periods, figures customers, figures customer-field`,
+		"\n\n  fig file /x":                               `x.conf:3:3: unknown directive "fig file", expected one of: admin listen, ajp listen, ajp secret file, ajp packet, next-tier ajp, next-tier secret file, route eject, route trial, route floor, route budget, figures file, figures trail, figures periods, figures customers, figures customer-field`,
 		"figures file":                                    `x.conf:1:13: "figures file" lacks its path, expected an absolute path on a disk of this machine`,
 		"figures file x":                                  `x.conf:1:14: path "x": no absolute path, expected an absolute path on a disk of this machine`,
 		"figures file /x /y":                              `x.conf:1:17: "/y" is too much for "figures file", expected the end of the line`,
@@ -36,6 +36,12 @@
 		"figures periods 60 each 1m":                      `x.conf:1:20: "each" where "every" belongs, expected "every"`,
 		"figures periods 60 every 1d":                     `x.conf:1:26: span "1d": no span, expected a span from 1s to 1h, as 1m`,
 		"figures periods 60 every 1ms":                    `x.conf:1:26: span "1ms": out of its range, expected a span from 1s to 1h, as 1m`,
+		"next-tier ajp a:1 weight=0":                      `x.conf:1:19: weight "0": out of its range, expected a number from 1 to 1000`,
+		"next-tier ajp a:1 heavy=1":                       `x.conf:1:19: "heavy=1" is too much for "next-tier ajp", expected the end of the line`,
+		"next-tier ajp a:1\nnext-tier ajp a:1":            `x.conf:2:15: address "a:1": it is there already, expected an address and a port, as 127.0.0.1:8009`,
+		"next-tier ajp a:1\nroute eject 3 for 5s to 1s":   `x.conf:2:25: span "1s": out of its range, expected a span, not under the first`,
+		"next-tier ajp a:1\nroute floor half":             `x.conf:2:13: share "half": no share in percent, expected a share from 1% to 100%`,
+		"route budget 10%":                                `x.conf:1:1: "route budget" says nothing alone, expected also "next-tier ajp"`,
 		"figures customers many":                          `x.conf:1:19: number "many": no whole number, expected a number from 1 to 1024`,
 		"figures customers 0":                             `x.conf:1:19: number "0": out of its range, expected a number from 1 to 1024`,
 		"admin listen 10.0.0.1:80":                        `x.conf:1:14: address "10.0.0.1:80": no loopback address, expected a loopback address and a port, as 127.0.0.1:9180`,
@@ -53,7 +59,7 @@
 // TestDeployed: the file that shows all directives is good, and says nothing as it stands.
 func TestDeployed(t *testing.T) {
 	const path = "../../deploy/frosthub.conf"
-	if c, err := Load(path); err != nil || c != (Config{}) {
+	if c, err := Load(path); err != nil || !cmp.Equal(c, Config{}) {
 		t.Error(c, err)
 	}
 	text, err := os.ReadFile(path)
@@ -68,7 +74,7 @@
 			n++
 		}
 	}
-	if c, err := Parse(path, on); err != nil || c == (Config{}) || n != len(Directives) {
+	if c, err := Parse(path, on); err != nil || cmp.Equal(c, Config{}) || n != len(Directives) {
 		t.Error(n, c, err)
 	}
 }
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -12,14 +12,17 @@
 	"time"
 
 	"frosthub/internal/figures"
+	"frosthub/route"
 )
 
-// Directive is one that may stand in the file, once.
+// Directive is one that may stand in the file.
 type Directive struct {
-	Name  string
-	Args  []Arg
-	Needs string // another directive without which it says nothing
-	Help  string
+	Name    string
+	Args    []Arg
+	Options []Arg  // that may follow, as name=value, for the last of its kind
+	Many    bool   // it may stand more than once
+	Needs   string // another directive without which it says nothing
+	Help    string
 }
 
 // Arg is a value of a directive, or a fixed word between values.
@@ -66,21 +69,88 @@
 		}}}},
 	{Name: "ajp secret file", Needs: "ajp listen", Help: "what each req over AJP must bring; the file's first line",
 		Args: []Arg{{Name: "path", Kind: "a file that can be read, with one line", Set: func(c *Config, v string) error {
-			text, err := os.ReadFile(v)
-			if err != nil {
-				return err
-			}
-			secret, _, _ := strings.Cut(string(text), "\n")
-			if c.AJP.Secret = strings.TrimRight(secret, "\r"); c.AJP.Secret == "" || len(c.AJP.Secret) > secretMost {
-				return errors.New("its first line is empty or too long")
-			}
-			return nil
+			var err error
+			c.AJP.Secret, err = secret(v)
+			return err
 		}}}},
 	{Name: "ajp packet", Needs: "ajp listen", Help: "bytes of a packet of AJP at most, as the front ends have it",
 		Args: []Arg{{Name: "number", Kind: "a number from 8192 to 65535", Set: func(c *Config, v string) (err error) {
 			c.AJP.Packet, err = whole(v, 8192, 65535)
 			return err
 		}}}},
+	{Name: "next-tier ajp", Many: true, Help: "make calls to this server over AJP; one line for each",
+		Args: []Arg{{Name: "address", Kind: "an address and a port, as 127.0.0.1:8009", Set: func(c *Config, v string) error {
+			if _, _, err := net.SplitHostPort(v); err != nil {
+				return errors.New("no address with a port")
+			}
+			for _, p := range c.NextAJP.Route.Peers {
+				if p.Address == v {
+					return errors.New("it is there already")
+				}
+			}
+			c.NextAJP.Route.Peers = append(c.NextAJP.Route.Peers, route.Peer{Address: v})
+			return nil
+		}}},
+		Options: []Arg{
+			{Name: "weight", Kind: "a number from 1 to 1000", Set: func(c *Config, v string) error {
+				n, err := whole(v, 1, 1000)
+				c.lastPeer().Weight = float64(n)
+				return err
+			}},
+			{Name: "route", Kind: "the name of a worker", Set: func(c *Config, v string) error {
+				if v == "" || len(v) > headerMost {
+					return errors.New("no name")
+				}
+				c.lastPeer().Route = v
+				return nil
+			}},
+			{Name: "most", Kind: "a number from 1 to 10000", Set: func(c *Config, v string) (err error) {
+				c.lastPeer().Most, err = whole(v, 1, 10000)
+				return err
+			}},
+		}},
+	{Name: "next-tier secret file", Needs: "next-tier ajp", Help: "what each call brings; the file's first line",
+		Args: []Arg{{Name: "path", Kind: "a file that can be read, with one line", Set: func(c *Config, v string) (err error) {
+			c.NextAJP.Secret, err = secret(v)
+			return err
+		}}}},
+	{Name: "route eject", Needs: "next-tier ajp", Help: "faults in a row that put a peer out of service, and for how long: doubled each time",
+		Args: []Arg{
+			{Name: "number", Kind: "a number from 1 to 100", Set: func(c *Config, v string) (err error) {
+				c.NextAJP.Route.Faults, err = whole(v, 1, 100)
+				return err
+			}},
+			{Name: "word", Word: "for"},
+			{Name: "span", Kind: "a span from 10ms to 1h", Set: func(c *Config, v string) (err error) {
+				c.NextAJP.Route.Out, err = span(v, 10*time.Millisecond, time.Hour)
+				return err
+			}},
+			{Name: "word", Word: "to"},
+			{Name: "span", Kind: "a span, not under the first", Set: func(c *Config, v string) (err error) {
+				c.NextAJP.Route.OutTop, err = span(v, c.NextAJP.Route.Out, time.Hour)
+				return err
+			}}}},
+	{Name: "route trial", Needs: "next-tier ajp", Help: "share of the calls that a returning peer gets, and how many must go well",
+		Args: []Arg{
+			{Name: "share", Kind: "a share from 1% to 100%", Set: func(c *Config, v string) (err error) {
+				c.NextAJP.Route.Trial, err = percent(v, 1)
+				return err
+			}},
+			{Name: "word", Word: "passes"},
+			{Name: "number", Kind: "a number from 1 to 1000", Set: func(c *Config, v string) (err error) {
+				c.NextAJP.Route.Passes, err = whole(v, 1, 1000)
+				return err
+			}}}},
+	{Name: "route floor", Needs: "next-tier ajp", Help: "share of the peers that stay in service whatever their faults",
+		Args: []Arg{{Name: "share", Kind: "a share from 1% to 100%", Set: func(c *Config, v string) (err error) {
+			c.NextAJP.Route.Floor, err = percent(v, 1)
+			return err
+		}}}},
+	{Name: "route budget", Needs: "next-tier ajp", Help: "further tries as a share of first ones",
+		Args: []Arg{{Name: "share", Kind: "a share from 1% to 100%", Set: func(c *Config, v string) (err error) {
+			c.NextAJP.Route.Budget, err = percent(v, 1)
+			return err
+		}}}},
 	{Name: "figures file", Help: "record the figures there, so that they outlive the process",
 		Args: []Arg{{Name: "path", Kind: "an absolute path on a disk of this machine", Set: func(c *Config, v string) error {
 			if !filepath.IsAbs(v) {
@@ -107,15 +177,9 @@
 			}},
 			{Name: "word", Word: "every"},
 			{Name: "span", Kind: "a span from 1s to 1h, as 1m", Set: func(c *Config, v string) error {
-				d, err := time.ParseDuration(v)
-				if err != nil {
-					return errors.New("no span")
-				}
-				if d < time.Second || d > time.Hour {
-					return errors.New("out of its range")
-				}
-				c.Figures.Every = d
-				return nil
+				var err error
+				c.Figures.Every, err = span(v, time.Second, time.Hour)
+				return err
 			}}}},
 	{Name: "figures customers", Help: "tell so many customers apart, all others are one",
 		Args: []Arg{{Name: "number", Kind: fmt.Sprintf("a number from 1 to %d", customers), Set: func(c *Config, v string) (err error) {
@@ -145,6 +209,42 @@
 	return n, nil
 }
 
+func span(v string, least, most time.Duration) (time.Duration, error) {
+	d, err := time.ParseDuration(v)
+	if err != nil {
+		return 0, errors.New("no span")
+	}
+	if d < least || d > most {
+		return 0, errors.New("out of its range")
+	}
+	return d, nil
+}
+
+func percent(v string, least int) (float64, error) {
+	number, ok := strings.CutSuffix(v, "%")
+	if !ok {
+		return 0, errors.New("no share in percent")
+	}
+	n, err := whole(number, least, 100)
+	return float64(n) / 100, err
+}
+
+// secret reads one from the first line of a file.
+func secret(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	line, _, _ := strings.Cut(string(text), "\n")
+	if line = strings.TrimRight(line, "\r"); line == "" || len(line) > secretMost {
+		return "", errors.New("its first line is empty or too long")
+	}
+	return line, nil
+}
+
+// lastPeer is the one that options belong to.
+func (c *Config) lastPeer() *route.Peer { return &c.NextAJP.Route.Peers[len(c.NextAJP.Route.Peers)-1] }
+
 func loopback(c *Config, v string) error {
 	host, port, err := net.SplitHostPort(v)
 	if err != nil {
--- a/internal/stand/processor.go
+++ b/internal/stand/processor.go
@@ -18,6 +18,7 @@
 	Cores float64
 	Work  func(id uint64, handler string) time.Duration // on one core
 	Knows func(id uint64) bool                          // nil: all
+	Calls func(id uint64, handler string) bool          // whose runs begin with a call; nil: none
 
 	ln net.Listener
 
@@ -35,10 +36,11 @@
 }
 
 type job struct {
-	id   uint64
-	body string
-	left float64 // seconds on one core
-	took time.Time
+	id    uint64
+	calls bool // waits for the reply to its call
+	body  string
+	left  float64 // seconds on one core
+	took  time.Time
 }
 
 // NewProcessor listens on loopback and runs until Close.
@@ -166,7 +168,20 @@
 		p.advance()
 		p.runs[id]++
 		p.ids[id] = body
-		p.running = append(p.running, &job{id: id, body: body, left: p.Work(id, w[2]).Seconds(), took: time.Now()})
+		j := &job{id: id, body: body, left: p.Work(id, w[2]).Seconds(), took: time.Now()}
+		p.running = append(p.running, j)
+		if p.Calls != nil && p.Calls(id, w[2]) {
+			j.calls = true
+			p.notice(fmt.Sprintf("ask %d %016x %d\r\n%s\r\n", len(p.notices)+1, id, len(body), body))
+		}
+		p.kick()
+	case "answer":
+		p.advance()
+		for _, j := range p.running {
+			if j.id == id {
+				j.calls = false
+			}
+		}
 		p.kick()
 	case "interrupt":
 		if p.Knows != nil && !p.Knows(id) {
@@ -184,7 +199,7 @@
 		p.kick()
 	case "usage":
 		p.advance()
-		n := float64(len(p.running))
+		n := float64(p.working())
 		say("used %s %.3f %.0f 0.01 3", w[1], min(1, n/p.Cores), n)
 	case "trial":
 		say("tried %s ok", w[1])
@@ -194,16 +209,28 @@
 // advance shares the cores among all runs since the last time.
 func (p *Processor) advance() {
 	now := time.Now()
-	if n := float64(len(p.running)); n > 0 {
+	if n := float64(p.working()); n > 0 {
 		each := now.Sub(p.last).Seconds() * min(1, p.Cores/n)
 		for _, j := range p.running {
-			j.left -= each
+			if !j.calls {
+				j.left -= each
+			}
 		}
 		p.busy += each * n
 	}
 	p.last = now
 }
 
+// working is how many runs want a core.
+func (p *Processor) working() (n int) {
+	for _, j := range p.running {
+		if !j.calls {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Processor) kick() {
 	select {
 	case p.wake <- struct{}{}:
@@ -213,7 +240,10 @@
 
 func (p *Processor) complete(j *job, end, body string) {
 	n := len(p.notices) + 1
-	text := fmt.Sprintf("complete %d %016x %s %.2f %d\r\n%s\r\n", n, j.id, end, time.Since(j.took).Seconds()*1000, len(body), body)
+	p.notice(fmt.Sprintf("complete %d %016x %s %.2f %d\r\n%s\r\n", n, j.id, end, time.Since(j.took).Seconds()*1000, len(body), body))
+}
+
+func (p *Processor) notice(text string) {
 	p.notices = append(p.notices, text)
 	if p.c != nil {
 		_, _ = io.WriteString(p.c, text)
@@ -234,14 +264,17 @@
 		p.advance()
 		next := time.Hour
 		p.running = slices.DeleteFunc(p.running, func(j *job) bool {
-			if j.left > 0 {
+			if j.left > 0 || j.calls {
 				return false
 			}
 			p.complete(j, "ok", Result(j.id, j.body))
 			return true
 		})
-		n := float64(len(p.running))
+		n := float64(p.working())
 		for _, j := range p.running {
+			if j.calls {
+				continue
+			}
 			next = min(next, time.Duration(j.left*max(1, n/p.Cores)*float64(time.Second))+50*time.Microsecond)
 		}
 		p.mu.Unlock()
--- a/route/route.go
+++ b/route/route.go
@@ -70,13 +70,14 @@
 	Gone        bool // no longer among the peers: it gets no more, what it has may end
 	Picks       int64
 
-	faults int           // in a row
-	outs   int           // ejections in a row
-	until  time.Duration // Out: when its trial begins
-	passes int           // Trial: good calls so far
-	last   uint64        // the pick that it had last
-	since  time.Duration // In: when it came back
-	out    time.Duration // how long it was out last
+	faults   int           // in a row
+	declines int           // in a row: it works, and has no room
+	outs     int           // ejections in a row
+	until    time.Duration // Out: when its trial begins
+	passes   int           // Trial: good calls so far
+	last     uint64        // the pick that it had last
+	since    time.Duration // In: when it came back
+	out      time.Duration // how long it was out last
 }
 
 // Router picks. Make it with New.
@@ -98,7 +99,7 @@
 
 // New returns a router.
 func New(cfg Config) *Router {
-	r := &Router{chance: rand.New(rand.NewPCG(cfg.Seed, 0x726f757465)), tokens: 1}
+	r := &Router{chance: rand.New(rand.NewPCG(cfg.Seed, 0x726f757465)), tokens: budgetTop}
 	r.Update(cfg)
 	return r
 }
@@ -191,16 +192,22 @@
 		return false
 	case t.State == Trial:
 		return t.Outstanding == 0 && (r.chance.Float64() < r.cfg.Trial || !r.others(t))
-	case t.faults >= r.cfg.Faults: // it stays in service for want of others: not what looks least busy as it fails at once
+	case t.weak(r.cfg.Faults): // it stays in service: not what looks least busy as it fails or declines at once
 		return r.chance.Float64() < r.cfg.Trial || !r.others(t)
 	}
 	return true
 }
 
+// weak tells whether a peer in service does little good now.
+func (t *Target) weak(most int) bool { return t.faults >= most || t.declines >= most }
+
+// Doubtful tells whether a peer is to be asked whether it is there before it gets a call.
+func (t *Target) Doubtful() bool { return t.faults > 0 || t.State == Trial }
+
 // others tells whether another peer is in service and works.
 func (r *Router) others(t *Target) bool {
 	for _, o := range r.targets {
-		if o != t && o.State == In && o.faults < r.cfg.Faults && o.Outstanding < o.Most {
+		if o != t && o.State == In && !o.weak(r.cfg.Faults) && o.Outstanding < o.Most {
 			return true
 		}
 	}
@@ -226,6 +233,9 @@
 	switch how {
 	case Good, Declined:
 		t.faults = 0
+		if t.declines++; how == Good {
+			t.declines = 0
+		}
 		if t.State == Trial {
 			if t.passes++; t.passes >= r.cfg.Passes {
 				t.State, t.since = In, now
@@ -278,6 +288,6 @@
 func (r *Router) eject(now time.Duration, t *Target) {
 	out := min(float64(r.cfg.OutTop), float64(r.cfg.Out)*math.Pow(2, float64(min(t.outs, 30))))
 	out *= 1 - jitter + 2*jitter*r.chance.Float64()
-	t.State, t.out, t.until, t.faults = Out, time.Duration(out), now+time.Duration(out), 0
+	t.State, t.out, t.until, t.faults, t.declines = Out, time.Duration(out), now+time.Duration(out), 0, 0
 	t.outs++
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -88,7 +88,7 @@
 					t.Fatal("fewer than none")
 				}
 			}
-			if float64(furthers) > 1+budgetTop+0.1*float64(firsts) {
+			if float64(furthers) > budgetTop+0.1*float64(firsts) {
 				t.Fatal(furthers, "further tries for", firsts)
 			}
 		}
@@ -144,6 +144,7 @@
 	state()
 	a = pick("")
 	r.Done(now, a, Fault)
+	r.tokens = 1
 	pick("", a)
 	pick("", a) // the budget is spent
 	now = 900 * time.Millisecond
