Calls with faults by chance at every peer: no claim's call runs twice

Cause: the schedule in virtual time shows the picks; that nothing runs twice had to be shown on sockets as well.

--- a/cmd/frosthub/peers_test.go
+++ b/cmd/frosthub/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -13,6 +14,8 @@
 	"frosthub/internal/stand"
 )
 
+var calls = flag.Int("calls", 900, "calls with faults by chance; 10000 outside CI")
+
 // tier is a box with a next tier of AJP servers.
 type tier struct {
 	p     *stand.Processor
@@ -177,6 +180,39 @@
 			}
 		}
 	})
+	t.Run("faults by chance", func(t *testing.T) {
+		t.Parallel()
+		x := newTier(t, 4, "")
+		for i, s := range x.peers {
+			s.Fault = func(id uint64) stand.Fault { // another at each peer, a tenth of the calls
+				if h := (id ^ id>>17) * 2654435761 >> uint(3*i); h%10 == 0 {
+					return []stand.Fault{stand.ResetBefore, stand.ResetAfter, stand.HalfAnswer, stand.WrongLength, stand.TurnsAway}[h/10%5]
+				}
+				return stand.NoFault
+			}
+		}
+		rate := 300.0
+		ctx, stop := context.WithTimeout(t.Context(), time.Duration(float64(*calls)/rate*float64(time.Second)))
+		defer stop()
+		tally := stand.NewTally()
+		stand.Stream{Rate: rate, Handlers: []string{"file-claim", "status"}, CostMS: 1, Target: time.Second, Patient: 4 * time.Second,
+			Body: "x"}.Run(ctx, 9, tally, func(uint64) stand.Asker { return x.front })
+		once, twice := 0, 0
+		claims := x.p.Handlers()
+		for id, n := range x.ran() {
+			if claims[id] == "file-claim" && n > 1 {
+				t.Errorf("the call of claim %d ran %d times", id, n)
+			}
+			if once++; n > 1 {
+				twice++
+			}
+		}
+		asked := len(tally.All())
+		t.Logf("%d reqs, %d served; %d calls ran, %d of reads twice", asked, tally.Count(stand.Served), once, twice)
+		if tally.Count(stand.Served) < asked*80/100 || tally.Count(stand.Wrong) > 0 {
+			t.Error(x.box.Log())
+		}
+	})
 	t.Run("reload", func(t *testing.T) {
 		t.Parallel()
 		x := newTier(t, 3, "")
--- a/internal/stand/processor.go
+++ b/internal/stand/processor.go
@@ -30,7 +30,7 @@
 	last    time.Time
 	busy    float64 // seconds of cores
 	runs    map[uint64]int
-	ids     map[uint64]string // begun ones and their bodies
+	ids     map[uint64]string // begun ones and their handlers
 	wake    chan struct{}
 	done    chan struct{}
 }
@@ -91,6 +91,17 @@
 	return out
 }
 
+// Handlers gives the handler of each id that was begun.
+func (p *Processor) Handlers() map[uint64]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[uint64]string, len(p.ids))
+	for id, h := range p.ids {
+		out[id] = h
+	}
+	return out
+}
+
 // Reset forgets what was run: the machine died with its box, or the counts are read.
 func (p *Processor) Reset() {
 	p.mu.Lock()
@@ -167,7 +178,7 @@
 		}
 		p.advance()
 		p.runs[id]++
-		p.ids[id] = body
+		p.ids[id] = w[2]
 		j := &job{id: id, body: body, left: p.Work(id, w[2]).Seconds(), took: time.Now()}
 		p.running = append(p.running, j)
 		if p.Calls != nil && p.Calls(id, w[2]) {
