--- a/cmd/frosthub/ajp_test.go
+++ b/cmd/frosthub/ajp_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"math"
 	"net"
-	"path/filepath"
 	"slices"
 	"sync"
 	"testing"
@@ -25,27 +24,11 @@
 	const drains, claims = 4, 100
 	outcomes := map[stand.Outcome]int{}
 	for range drains {
-		p, err := stand.NewProcessor(4, func(uint64, string) time.Duration { return 5 * time.Millisecond })
-		if err != nil {
-			t.Fatal(err)
-		}
-		address, err := stand.FreeAddress()
-		if err != nil {
-			t.Fatal(err)
-		}
-		front, err := stand.FreeAddress()
-		if err != nil {
-			t.Fatal(err)
-		}
-		dir := t.TempDir()
-		path := filepath.Join(dir, "figures")
-		box := &stand.Box{Binary: binary, Dir: dir, Listen: address, Processor: p.Address(), StopMS: 700,
-			Conf: "ajp listen " + front + "\nfigures file " + path + "\n"}
-		if err := box.Start(); err != nil {
-			t.Fatal(err)
-		}
+		x := newRig(t, 4, everyReq(5*time.Millisecond), "ajp listen FRONT\nfigures file FIGURES\n")
+		x.box.StopMS = 700
+		x.start()
 		tally := stand.NewTally()
-		asker := stand.NewAJP(front)
+		asker := stand.NewAJP(x.front)
 		var all sync.WaitGroup
 		start := time.Now()
 		for i := range claims {
@@ -57,13 +40,13 @@
 			})
 		}
 		time.Sleep(time.Until(start.Add(250 * time.Millisecond)))
-		if err := box.Drain(); err != nil {
-			t.Fatal(err, box.Log())
+		if err := x.box.Drain(); err != nil {
+			t.Fatal(err, x.box.Log())
 		}
 		all.Wait()
 		asker.Close()
-		of, _ := fates(t, path)
-		runs := p.Runs()
+		of, _ := fates(t, x.path)
+		runs := x.p.Runs()
 		for id, o := range tally.All() {
 			outcomes[o]++
 			f, taken := of[id]
@@ -74,7 +57,6 @@
 				t.Errorf("claim %d ran, and its front end has no answer: %+v", id, f)
 			}
 		}
-		p.Close()
 	}
 	t.Log(outcomes)
 	if outcomes[stand.Served] < drains*20 || outcomes[stand.Refused]+outcomes[stand.NotSent] == 0 {
@@ -92,30 +74,14 @@
 		work  = 20 * time.Millisecond
 	)
 	serve := func(seed uint64, share float64) (all, overAJP, overFastCGI float64) {
-		p, err := stand.NewProcessor(cores, func(id uint64, _ string) time.Duration {
+		x := newRig(t, cores, func(id uint64, _ string) time.Duration {
 			return time.Duration((0.5 + float64(id%1000)/1000) * float64(work))
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer p.Close()
-		address, err := stand.FreeAddress()
-		if err != nil {
-			t.Fatal(err)
-		}
-		front, err := stand.FreeAddress()
-		if err != nil {
-			t.Fatal(err)
-		}
-		box := &stand.Box{Binary: binary, Dir: t.TempDir(), Listen: address, Processor: p.Address(), StopMS: 500,
-			Conf: "ajp listen " + front + "\n"}
-		if err := box.Start(); err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = box.Kill() }()
+		}, "ajp listen FRONT\n")
+		x.start()
+		defer x.end()
 		ctx, stop := context.WithTimeout(t.Context(), 8*time.Second)
 		defer stop()
-		jp, fcgi := stand.NewAJP(front), stand.NewFastCGI(address)
+		jp, fcgi := stand.NewAJP(x.front), stand.NewFastCGI(x.box.Listen)
 		defer jp.Close()
 		defer fcgi.Close()
 		s := stand.Stream{Rate: 1.1 * cores / work.Seconds(), Handlers: []string{"status", "field-update", "file-claim"},
@@ -169,25 +135,10 @@
 // TestIdleFronts: a thousand idle AJP connections on 512 descriptors leave room for those that ask, over either front,
 // and CPing is answered all the while.
 func TestIdleFronts(t *testing.T) {
-	p, err := stand.NewProcessor(2, func(uint64, string) time.Duration { return time.Millisecond })
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer p.Close()
-	address, err := stand.FreeAddress()
-	if err != nil {
-		t.Fatal(err)
-	}
-	front, err := stand.FreeAddress()
-	if err != nil {
-		t.Fatal(err)
-	}
-	box := &stand.Box{Binary: binary, Dir: t.TempDir(), Listen: address, Processor: p.Address(), StopMS: 500, Sockets: 512,
-		Conf: "ajp listen " + front + "\n"}
-	if err := box.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = box.Kill() }()
+	x := newRig(t, 2, everyReq(time.Millisecond), "ajp listen FRONT\n")
+	x.box.Sockets = 512
+	x.start()
+	defer x.end()
 	var idle []net.Conn
 	defer func() {
 		for _, c := range idle {
@@ -197,7 +148,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	var all sync.WaitGroup
 	tallies := [2]*stand.Tally{stand.NewTally(), stand.NewTally()}
-	for i, asker := range []stand.Asker{stand.NewFastCGI(address), stand.NewAJP(front)} {
+	for i, asker := range []stand.Asker{stand.NewFastCGI(x.box.Listen), stand.NewAJP(x.front)} {
 		defer asker.Close()
 		all.Go(func() {
 			stand.Stream{Rate: 100, Handlers: []string{"status"}, CostMS: 1, Target: time.Second, Patient: 3 * time.Second, Body: "x"}.
@@ -208,7 +159,7 @@
 	for len(idle) < 1000 { // 400 a second: more than the box can keep, less than it can let go
 		time.Sleep(10 * time.Millisecond)
 		for range 4 {
-			c, err := net.Dial("tcp", front)
+			c, err := net.Dial("tcp", x.front)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -226,7 +177,7 @@
 		asked := len(tally.All())
 		t.Logf("front %d: %d of %d served beside a thousand idle connections", i, tally.Count(stand.Served), asked)
 		if tally.Count(stand.Served) < asked*95/100 || asked < 100 {
-			t.Error(box.Log())
+			t.Error(x.box.Log())
 		}
 	}
 	t.Log(pongs, "of 1000 heard CPong")
@@ -240,30 +191,14 @@
 	if *pairs == 0 {
 		t.Skip("asked for by -pairs")
 	}
-	cost := func(over func(box *stand.Box, front string) stand.Asker) float64 {
-		p, err := stand.NewProcessor(8, func(uint64, string) time.Duration { return 200 * time.Microsecond })
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer p.Close()
-		address, err := stand.FreeAddress()
-		if err != nil {
-			t.Fatal(err)
-		}
-		front, err := stand.FreeAddress()
-		if err != nil {
-			t.Fatal(err)
-		}
-		box := &stand.Box{Binary: binary, Dir: t.TempDir(), Listen: address, Processor: p.Address(), StopMS: 500,
-			Conf: "ajp listen " + front + "\n"}
-		if err := box.Start(); err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = box.Kill() }()
-		asker := over(box, front)
+	cost := func(over func(x *rig) stand.Asker) float64 {
+		x := newRig(t, 8, everyReq(200*time.Microsecond), "ajp listen FRONT\n")
+		x.start()
+		defer x.end()
+		asker := over(x)
 		defer asker.Close()
 		tally := stand.NewTally()
-		before, err := box.CPU()
+		before, err := x.box.CPU()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -271,7 +206,7 @@
 		defer stop()
 		stand.Stream{Rate: 1500, Handlers: []string{"status", "file-claim"}, CostMS: 0.2, Target: time.Second, Patient: time.Second,
 			Body: "a field"}.Run(ctx, 1, tally, func(uint64) stand.Asker { return asker })
-		after, err := box.CPU()
+		after, err := x.box.CPU()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -281,8 +216,8 @@
 	for range *pairs {
 		var over, beside float64
 		var both sync.WaitGroup
-		both.Go(func() { over = cost(func(_ *stand.Box, front string) stand.Asker { return stand.NewAJP(front) }) })
-		both.Go(func() { beside = cost(func(b *stand.Box, _ string) stand.Asker { return stand.NewFastCGI(b.Listen) }) })
+		both.Go(func() { over = cost(func(x *rig) stand.Asker { return stand.NewAJP(x.front) }) })
+		both.Go(func() { beside = cost(func(x *rig) stand.Asker { return stand.NewFastCGI(x.box.Listen) }) })
 		both.Wait()
 		t.Logf("over AJP %.1f us a req, over FastCGI %.1f", over, beside)
 		ratios = append(ratios, over/beside)
--- a/cmd/frosthub/figures_test.go
+++ b/cmd/frosthub/figures_test.go
@@ -45,6 +45,50 @@
 	os.Exit(code)
 }
 
+// rig is a box with a stand-in processor, an address for AJP and a place for figures.
+type rig struct {
+	t           *testing.T
+	p           *stand.Processor
+	box         *stand.Box
+	front, path string
+}
+
+func everyReq(d time.Duration) func(uint64, string) time.Duration {
+	return func(uint64, string) time.Duration { return d }
+}
+
+// newRig prepares one; FRONT and FIGURES in the operator's lines stand for its own.
+func newRig(t *testing.T, cores float64, work func(uint64, string) time.Duration, lines string) *rig {
+	t.Helper()
+	x := &rig{t: t}
+	var err error
+	if x.p, err = stand.NewProcessor(cores, work); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(x.p.Close)
+	address, err := stand.FreeAddress()
+	if err == nil {
+		x.front, err = stand.FreeAddress()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	x.path = filepath.Join(dir, "figures")
+	x.box = &stand.Box{Binary: binary, Dir: dir, Listen: address, Processor: x.p.Address(), StopMS: 500,
+		Conf: strings.NewReplacer("FRONT", x.front, "FIGURES", x.path).Replace(lines)}
+	return x
+}
+
+func (x *rig) start() {
+	x.t.Helper()
+	if err := x.box.Start(); err != nil {
+		x.t.Fatal(err)
+	}
+}
+
+func (x *rig) end() { _ = x.box.Kill() }
+
 // fate is what a box's account says of a req.
 type fate struct {
 	sent, closed bool
@@ -121,24 +165,10 @@
 }
 
 func killsAndDrains(t *testing.T, kills, drains int, seed uint64) {
-	p, err := stand.NewProcessor(2, func(uint64, string) time.Duration { return 2 * time.Millisecond })
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer p.Close()
-	address, err := stand.FreeAddress()
-	if err != nil {
-		t.Fatal(err)
-	}
-	front, err := stand.FreeAddress()
-	if err != nil {
-		t.Fatal(err)
-	}
-	dir := t.TempDir()
-	path := filepath.Join(dir, "figures")
-	box := &stand.Box{Binary: binary, Dir: dir, Listen: address, Processor: p.Address(), StopMS: 500,
-		Conf: "ajp listen " + front + "\nfigures file " + path + "\nfigures trail 65536\nfigures periods 60 every 1s\nfigures customers 8\n"}
-	load := stand.Load{Address: address, Conns: 6, Every: 6 * time.Millisecond, Slots: 24, Callers: 20,
+	x := newRig(t, 2, everyReq(2*time.Millisecond), "ajp listen FRONT\nfigures file FIGURES\nfigures trail 65536\n"+
+		"figures periods 60 every 1s\nfigures customers 8\n")
+	p, box, path, front := x.p, x.box, x.path, x.front
+	load := stand.Load{Address: box.Listen, Conns: 6, Every: 6 * time.Millisecond, Slots: 24, Callers: 20,
 		Handlers: []string{"status", "field-update", "file-claim"}, Abort: 0.05, Close: 0.02, Bad: 0.02, Body: "a field"}
 	stream := stand.Stream{Rate: 250, Handlers: load.Handlers, CostMS: 2, Target: time.Second, Patient: 3 * time.Second, Body: "a field"}
 	r := rand.New(rand.NewPCG(seed, 7))
@@ -146,6 +176,7 @@
 	var doubts, most, lives int
 	settled := strings.Builder{}
 	for left := kills + drains; left > 0; left-- {
+		var err error
 		kill := r.IntN(left) < kills
 		if err := box.Start(); err != nil {
 			t.Fatal(err)
@@ -248,7 +279,7 @@
 	if lives > 50 {
 		return // ids in doubt of early lives are no longer told one by one
 	}
-	tally := filepath.Join(dir, "tally")
+	tally := filepath.Join(box.Dir, "tally")
 	if err := os.WriteFile(tally, []byte(settled.String()), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -280,28 +311,16 @@
 	if *pairs == 0 {
 		t.Skip("asked for by -pairs")
 	}
-	with := func(dir string) string {
-		return "figures file " + filepath.Join(dir, "figures") + "\nfigures periods 1440 every 1m\nfigures customers 64\n"
-	}
+	const with = "figures file FIGURES\nfigures periods 1440 every 1m\nfigures customers 64\n"
 	other := binary
 	if *baseline != "" {
 		other = *baseline
 	}
-	cost := func(program, conf, dir string) (float64, int64) {
-		p, err := stand.NewProcessor(8, func(uint64, string) time.Duration { return 200 * time.Microsecond })
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer p.Close()
-		address, err := stand.FreeAddress()
-		if err != nil {
-			t.Fatal(err)
-		}
-		box := &stand.Box{Binary: program, Dir: dir, Listen: address, Processor: p.Address(), StopMS: 500, Conf: conf,
-			Plain: program != binary}
-		if err := box.Start(); err != nil {
-			t.Fatal(err)
-		}
+	cost := func(program, conf string) (float64, int64) {
+		x := newRig(t, 8, everyReq(200*time.Microsecond), conf)
+		box := x.box
+		box.Binary, box.Plain = program, program != binary
+		x.start()
 		before, err := box.CPU() // without what the start takes
 		if err != nil {
 			t.Fatal(err)
@@ -309,7 +328,7 @@
 		tally := stand.NewTally()
 		ctx, stop := context.WithTimeout(t.Context(), 4*time.Second)
 		defer stop()
-		stand.Load{Address: address, Conns: 8, Every: 4 * time.Millisecond, Slots: 30, Callers: *callers,
+		stand.Load{Address: box.Listen, Conns: 8, Every: 4 * time.Millisecond, Slots: 30, Callers: *callers,
 			Handlers: []string{"status", "file-claim"}, CostMS: 0.2, Body: "a field"}.Run(ctx, tally, 1)
 		after, err := box.CPU()
 		if err != nil {
@@ -322,12 +341,11 @@
 	}
 	var ratios []float64
 	for range *pairs {
-		dir := t.TempDir()
 		var on, off float64
 		var kb [2]int64
 		var both sync.WaitGroup // at the same time: what else the machine does meets both alike
-		both.Go(func() { on, kb[0] = cost(binary, with(dir), dir) })
-		both.Go(func() { off, kb[1] = cost(other, "", t.TempDir()) })
+		both.Go(func() { on, kb[0] = cost(binary, with) })
+		both.Go(func() { off, kb[1] = cost(other, "") })
 		both.Wait()
 		t.Logf("with %.1f us a req, without %.1f: %.3f; %d and %d KB", on, off, on/off, kb[0], kb[1])
 		ratios = append(ratios, on/off)
--- a/cmd/frosthub/peers_test.go
+++ b/cmd/frosthub/peers_test.go
@@ -18,21 +18,17 @@
 
 // tier is a box with a next tier of AJP servers.
 type tier struct {
-	p     *stand.Processor
+	*rig
 	peers []*stand.AJPServer
-	box   *stand.Box
-	front *stand.FastCGI
+	asker *stand.FastCGI
 	lines string // of the operator's file beside the peers
 }
 
 func newTier(t *testing.T, n int, lines string) *tier {
 	t.Helper()
-	p, err := stand.NewProcessor(8, func(uint64, string) time.Duration { return time.Millisecond })
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.Calls = func(uint64, string) bool { return true }
-	x := &tier{p: p, lines: lines}
+	base := newRig(t, 8, everyReq(time.Millisecond), "")
+	base.p.Calls = func(uint64, string) bool { return true }
+	x := &tier{rig: base, lines: lines}
 	for range n {
 		s, err := stand.NewAJPServer(3 * time.Millisecond)
 		if err != nil {
@@ -40,19 +36,12 @@
 		}
 		x.peers = append(x.peers, s)
 	}
-	address, err := stand.FreeAddress()
-	if err != nil {
-		t.Fatal(err)
-	}
-	x.box = &stand.Box{Binary: binary, Dir: t.TempDir(), Listen: address, Processor: p.Address(), StopMS: 1000, Conf: x.conf(x.peers)}
-	if err := x.box.Start(); err != nil {
-		t.Fatal(err)
-	}
-	x.front = stand.NewFastCGI(address)
+	x.box.StopMS, x.box.Conf = 1000, x.conf(x.peers)
+	x.start()
+	x.asker = stand.NewFastCGI(x.box.Listen)
 	t.Cleanup(func() {
-		x.front.Close()
-		_ = x.box.Kill()
-		p.Close()
+		x.asker.Close()
+		x.end()
 		for _, s := range x.peers {
 			s.Leave()
 		}
@@ -72,7 +61,7 @@
 func (x *tier) ask(from uint64, n int, handler string) (served int) {
 	for i := range n {
 		r := stand.Req{ID: from + uint64(i), Handler: handler, Start: time.Now().UnixMilli(), CostMS: 1, Body: "a policy"}
-		if x.front.Ask(&r, 4*time.Second) == stand.Served {
+		if x.asker.Ask(&r, 4*time.Second) == stand.Served {
 			served++
 		}
 	}
@@ -196,7 +185,7 @@
 		defer stop()
 		tally := stand.NewTally()
 		stand.Stream{Rate: rate, Handlers: []string{"file-claim", "status"}, CostMS: 1, Target: time.Second, Patient: 4 * time.Second,
-			Body: "x"}.Run(ctx, 9, tally, func(uint64) stand.Asker { return x.front })
+			Body: "x"}.Run(ctx, 9, tally, func(uint64) stand.Asker { return x.asker })
 		once, twice := 0, 0
 		claims := x.p.Handlers()
 		for id, n := range x.ran() {
@@ -221,7 +210,7 @@
 		loaded := make(chan struct{})
 		go func() {
 			stand.Stream{Rate: 150, Handlers: []string{"file-claim"}, CostMS: 1, Target: time.Second, Patient: 4 * time.Second,
-				Body: "x"}.Run(ctx, 5, tally, func(uint64) stand.Asker { return x.front })
+				Body: "x"}.Run(ctx, 5, tally, func(uint64) stand.Asker { return x.asker })
 			close(loaded)
 		}()
 		for i := range 6 { // one peer leaves the file, another returns
