A start that gives up on a slow disk shares its book with nobody

Cause: read over once more: after the two seconds at the start the owner went on with the book that the goroutine still waiting for the disk would begin a life in; the race detector shows it (TestSlowDisk). The owner now makes one of its own.

--- a/internal/figures/file.go
+++ b/internal/figures/file.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -224,11 +225,16 @@
 	buf  []byte
 }
 
-// fallocate takes room on a disk; what tests put in allocate's place has none.
-var (
-	fallocate = unix.Fallocate
-	allocate  = fallocate
-)
+// otherDisk takes room in place of the system's: tests have disks that are full or slow.
+var otherDisk atomic.Pointer[func() error]
+
+// allocate takes room on the disk.
+func allocate(fd int, size int64) error {
+	if other := otherDisk.Load(); other != nil {
+		return (*other)()
+	}
+	return unix.Fallocate(fd, 0, 0, size)
+}
 
 // create makes a file with room for such a book and puts it in the place of the one before; nothing is in it yet.
 // The room is taken on the disk at once: a full one is an error here and not a fault later.
@@ -246,7 +252,7 @@
 			_ = os.Remove(tmp.Name())
 		}
 	}()
-	if err = allocate(int(tmp.Fd()), 0, 0, int64(l.size())); err != nil {
+	if err = allocate(int(tmp.Fd()), int64(l.size())); err != nil {
 		return nil, fmt.Errorf("room of %d bytes: %w", l.size(), err)
 	}
 	data, err := unix.Mmap(int(tmp.Fd()), 0, l.size(), unix.PROT_READ|unix.PROT_WRITE, unix.MAP_SHARED|unix.MAP_POPULATE)
--- a/internal/figures/recorder.go
+++ b/internal/figures/recorder.go
@@ -56,7 +56,7 @@
 func (r *Recorder) Open(fresh *account.Book, cfg account.Config, at, patient time.Duration) *account.Book {
 	r.periods = cfg.Periods
 	done := make(chan opened, 1)
-	go func() { done <- open(r.path, r.ops, fresh, cfg, at) }()
+	go func() { done <- openFile(r.path, r.ops, fresh, cfg, at) }()
 	timer := time.NewTimer(patient)
 	defer timer.Stop()
 	select {
@@ -77,12 +77,17 @@
 	case <-timer.C:
 		r.log.Error("figures file", "file", r.path, "why", "the disk does not answer: this life is not recorded")
 		r.off = true
-		fresh.Begin(at, boot())
-		return fresh
+		own, err := account.New(cfg) // the other is in the hands of what still waits for the disk
+		if err != nil {
+			return fresh // not reached: the same made the other
+		}
+		own.Begin(at, boot())
+		return own
 	}
 }
 
-func open(path string, ops int, fresh *account.Book, cfg account.Config, at time.Duration) (o opened) {
+// openFile takes the lock, reads what is there, and puts a new file in its place.
+func openFile(path string, ops int, fresh *account.Book, cfg account.Config, at time.Duration) (o opened) {
 	fail := func(err error) { o.errs = append(o.errs, err) }
 	lock, err := hold(path)
 	if err != nil {
