Tests: one writer of FastCGI records, one place for the draws of property tests

Cause: the stand-ins of backend and internal/stand wrote the same records, three packages set the same seed.

--- a/account/book_test.go
+++ b/account/book_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -10,12 +9,11 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"frosthub/internal/golden"
 )
 
-func init() { // the same draws in each run; the command line may say others
-	_ = flag.Set("rapid.seed", "20261201")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
+func init() { golden.SameDraws() }
 
 var testConfig = Config{Handlers: []string{"status", "file-claim"}, Customers: 3, Periods: 4, Every: time.Second}
 
--- a/backend/stand_test.go
+++ b/backend/stand_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"frosthub/internal/ajp"
+	"frosthub/internal/stand"
 )
 
 const (
@@ -237,23 +238,6 @@
 	held bool // reads nothing
 }
 
-func record(kind byte, slot uint16, content string) string {
-	head := []byte{1, kind, 0, 0, 0, 0, 3, 0}
-	binary.BigEndian.PutUint16(head[2:], slot)
-	binary.BigEndian.PutUint16(head[4:], uint16(len(content)))
-	return string(head) + content + "pad"
-}
-
-func pair(name, value string) string {
-	b := []byte{byte(len(name))}
-	if len(value) < 128 {
-		b = append(b, byte(len(value)))
-	} else {
-		b = binary.BigEndian.AppendUint32(b, uint32(len(value))|1<<31)
-	}
-	return string(b) + name + value
-}
-
 // usual is the usual fields of a req with others over them.
 func usual(slot uint16, fields map[string]string) map[string]string {
 	all := map[string]string{"REQUEST_METHOD": "POST", "SCRIPT_NAME": "/invoke/status", "HTTP_X_CALLER": "4",
@@ -275,16 +259,10 @@
 	var params strings.Builder
 	for k, v := range all {
 		if v != "-" {
-			params.WriteString(pair(k, v))
+			params.WriteString(stand.Pair(k, v))
 		}
 	}
-	p, half := params.String(), params.Len()/2
-	out := record(1, slot, "\x00\x01\x01\x00\x00\x00\x00\x00") + record(4, slot, p[:half]) + record(4, slot, p[half:]) +
-		record(4, slot, "")
-	if body != "" {
-		out += record(5, slot, body)
-	}
-	return out + record(5, slot, "")
+	return stand.Records(slot, params.String(), body)
 }
 
 // requestAJP gives the packets of the same req over AJP.
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"frosthub/internal/golden"
+	"frosthub/internal/stand"
 )
 
 // TestTraces plays the steps of each trace file against a backend on loopback; what follows a step is what the
@@ -197,13 +198,13 @@
 			}
 		case "starts": // so many reqs that never come whole
 			for i := range slot {
-				text += record(1, i+1, "\x00\x01\x01\x00\x00\x00\x00\x00") + record(4, i+1, strings.Repeat("x", 4000))
+				text += stand.Record(1, i+1, "\x00\x01\x01\x00\x00\x00\x00\x00") + stand.Record(4, i+1, strings.Repeat("x", 4000))
 			}
 		case "half": // a req over AJP whose body stops in its middle
 			whole := requestAJP(slot, map[string]string{"body": "a body that is cut"})
 			text = whole[:len(whole)-9]
 		case "aborts":
-			if text = record(2, slot, ""); s.ajp { // its end is the abort
+			if text = stand.Abort(slot); s.ajp { // its end is the abort
 				_ = e.c.Close()
 				delete(s.edges, fmt.Sprint(w[1], "/", slot))
 				return
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -76,6 +76,12 @@
 	return out.String()
 }
 
+// SameDraws has property tests draw the same in each run, for their package's init; the command line may say others.
+func SameDraws() {
+	_ = flag.Set("rapid.seed", "20261201") // where rapid is not linked there is nothing to set
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
 // Open makes a parser that prints its messages, and returns what feeds it.
 type Open func(print func(format string, args ...any)) (feed func([]byte) error)
 
--- a/keep/keep_test.go
+++ b/keep/keep_test.go
@@ -3,18 +3,16 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"flag"
 	"fmt"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"frosthub/internal/golden"
 )
 
-func init() { // the same draws in each run; the command line may say others
-	_ = flag.Set("rapid.seed", "20261201")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
+func init() { golden.SameDraws() }
 
 func keyOf(n uint64) (k Key) {
 	binary.BigEndian.PutUint64(k[8:], n)
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -11,12 +10,11 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"frosthub/internal/golden"
 )
 
-func init() { // the same draws in each run; the command line may say others
-	_ = flag.Set("rapid.seed", "20261201")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
+func init() { golden.SameDraws() }
 
 func peers(n int) (out []Peer) {
 	for i := range n {
