Read over once more: one place each for counting a reason, a call's begin, its peer

Cause: figures added a reason to its sum in five places, the reboot of a machine was judged in two, calls began and left their peer by the same lines in several, closed periods were written by two loops, addresses and statuses were judged twice. One piece each serves them now; members that nobody used are gone. Nothing else changes: all tests keep what they expect (one call in the model of the accounts follows a changed argument).

--- a/account/book.go
+++ b/account/book.go
@@ -145,9 +145,6 @@
 // Differences is how often figures were found that do not add up.
 func (b *Book) Differences() int64 { return b.differs }
 
-// Answering is how many answers wait to be handed to the system.
-func (b *Book) Answering() int { return b.answering }
-
 // Open takes a req; at is the time of day.
 func (b *Book) Open(at time.Duration, id uint64, handler uint16, front Front, customer Name) Ticket {
 	slot := uint32(len(b.entries))
@@ -310,14 +307,14 @@
 	}
 	e.state = free
 	b.unused = append(b.unused, slot)
-	r, f := row(e.handler, e.front), why.Figure()
+	r := row(e.handler, e.front)
 	b.cells[r*reasons+int(why)]++
 	b.periods.add(r*reasons+int(why), 1)
-	b.total.closed(f)
-	b.rows[r].closed(f)
+	b.total.closed(why)
+	b.rows[r].closed(why)
 	c := &b.customers.list[e.customer]
-	c.closed(f)
-	b.lives.now().closed(f)
+	c.closed(why)
+	b.lives.now().closed(why)
 	if b.total.Taken != b.total.Sum() || b.rows[r].Taken != b.rows[r].Sum() || c.Taken != c.Sum() {
 		b.sums(at)
 	}
--- a/account/book_test.go
+++ b/account/book_test.go
@@ -61,7 +61,7 @@
 		periods := map[uint64][]byte{}
 		wrong := int64(0)
 		closed := func(k Ticket, why Reason) {
-			m.figures.closed(why.Figure())
+			m.figures.closed(why)
 			m.cells[m.key(of[k][0], Front(of[k][1]), why)]++
 			open = slices.DeleteFunc(open, func(o Ticket) bool { return o == k })
 			ended = append(ended, k)
--- a/account/check.go
+++ b/account/check.go
@@ -23,10 +23,7 @@
 		b.known[what] = left - right
 	}
 	trail := b.trailText()
-	op := Op{Seq: b.seq + 1, Kind: OpDiffer, At: at}
-	if b.Apply(op) == nil && b.keepOps {
-		b.ops = append(b.ops, op)
-	}
+	b.do(Op{Kind: OpDiffer, At: at})
 	if len(b.found) < foundMost {
 		b.found = append(b.found, Difference{at, what, left, right, trail})
 	}
@@ -115,16 +112,7 @@
 	for i := range b.rows {
 		var f Figures
 		for why, n := range b.cells[i*reasons : (i+1)*reasons] {
-			switch Reason(why).Figure() {
-			case Served:
-				f.Served += n
-			case Refused:
-				f.Refused += n
-			case Failed:
-				f.Failed += n
-			default:
-				f.Taken += n
-			}
+			f.Add(Reason(why), n)
 		}
 		f.Open = f.Taken - f.Sum()
 		if f != b.rows[i] {
--- a/account/encode.go
+++ b/account/encode.go
@@ -427,22 +427,11 @@
 
 // finish works out what a snapshot does not hold.
 func (b *Book) finish() {
-	for i := range b.cells {
-		f := &b.rows[i/reasons]
-		switch g := Reason(i % reasons).Figure(); {
-		case i%reasons == 0:
-			f.Taken, f.Open = b.cells[i], f.Open+b.cells[i]
-		case g != 0:
-			f.Open -= b.cells[i]
-			switch g {
-			case Served:
-				f.Served += b.cells[i]
-			case Refused:
-				f.Refused += b.cells[i]
-			case Failed:
-				f.Failed += b.cells[i]
-			}
-		}
+	for i, n := range b.cells {
+		b.rows[i/reasons].Add(Reason(i%reasons), n)
+	}
+	for i := range b.rows {
+		b.rows[i].Open = b.rows[i].Taken - b.rows[i].Sum()
 	}
 	b.Rested()
 }
--- a/account/life.go
+++ b/account/life.go
@@ -65,7 +65,7 @@
 	l := &b.lives
 	if n := len(l.list); n > 0 && l.list[n-1].Ending == Runs {
 		how := Killed
-		if apart := boot - l.list[n-1].Boot; apart > bootSlack || apart < -bootSlack {
+		if l.list[n-1].Rebooted(boot) {
 			how = Rebooted
 		}
 		b.Settle(CutByKill, how)
@@ -82,6 +82,12 @@
 // bootSlack is how far the time of one boot may seem to move: it is worked out from a clock that is set at times.
 const bootSlack = time.Minute
 
+// Rebooted tells whether the machine, which started at boot, has done so since the life.
+func (l *Life) Rebooted(boot time.Duration) bool {
+	apart := boot - l.Boot
+	return apart > bootSlack || apart < -bootSlack
+}
+
 // Settle closes all that is open, at the end of a life.
 func (b *Book) Settle(why Reason, how Ending) {
 	b.lives.now()
--- a/account/reason.go
+++ b/account/reason.go
@@ -152,16 +152,23 @@
 	return Figures{f.Taken + o.Taken, f.Served + o.Served, f.Refused + o.Refused, f.Failed + o.Failed, f.Open + o.Open}
 }
 
-// closed counts a closed req.
-func (f *Figures) closed(g Figure) {
-	switch g {
+// Add counts so many reqs that were closed for a reason, or for None were taken. Open is left as it is.
+func (f *Figures) Add(why Reason, n int64) {
+	switch why.Figure() {
 	case Served:
-		f.Served++
+		f.Served += n
 	case Refused:
-		f.Refused++
+		f.Refused += n
 	case Failed:
-		f.Failed++
+		f.Failed += n
+	default:
+		f.Taken += n
 	}
+}
+
+// closed counts a req that was open.
+func (f *Figures) closed(why Reason) {
+	f.Add(why, 1)
 	f.Open--
 }
 
--- a/account/report.go
+++ b/account/report.go
@@ -79,19 +79,10 @@
 				continue
 			}
 			any = true
-			if why == 0 {
-				row.Figures.Taken = n
-			} else {
+			if why != 0 {
 				row.Reasons[Reason(why).String()] = n
 			}
-			switch Reason(why).Figure() {
-			case Served:
-				row.Figures.Served += n
-			case Refused:
-				row.Figures.Refused += n
-			case Failed:
-				row.Figures.Failed += n
-			}
+			row.Figures.Add(Reason(why), n)
 		}
 		if any {
 			row.Figures.Open = row.Figures.Taken - row.Figures.Sum()
@@ -160,7 +151,13 @@
 // Moved has one that was counted as failed, being in doubt, counted where it belongs.
 func (f Figures) Moved(to Figure) Figures {
 	f.Failed--
-	f.Open++
-	f.closed(to)
+	switch to {
+	case Served:
+		f.Served++
+	case Refused:
+		f.Refused++
+	default:
+		f.Failed++
+	}
 	return f
 }
--- a/backend/figures.go
+++ b/backend/figures.go
@@ -42,7 +42,6 @@
 		book = b.record.Open(book, cfg, b.wall, startPatient)
 	}
 	b.book = book
-	b.rows = nil
 	for _, h := range b.handlers {
 		b.rows = append(b.rows, book.Handler(h.name))
 	}
--- a/backend/peers.go
+++ b/backend/peers.go
@@ -78,15 +78,12 @@
 	return p
 }
 
-func (p *peers) room() int        { return max(1, int(wireShare*float64(p.b.cfg.Limits.Sockets))) }
+func (p *peers) room() int        { return p.b.wireRoom() }
 func (p *peers) inHand() int      { return len(p.calls) }
 func (p *peers) connections() int { return p.wires }
 
 func (p *peers) invoke(r *req, after time.Duration) {
-	b := p.b
-	b.count.Calls++
-	k := &call{r: r, began: b.now, till: b.now + after}
-	r.at, r.call = calling, k
+	k := p.b.callBegins(r, after)
 	p.calls[r.id] = k
 	p.place(k)
 }
@@ -103,17 +100,11 @@
 	if n := len(l.idle); n > 0 {
 		w := l.idle[n-1]
 		l.idle = l.idle[:n-1]
-		w.k, k.jw = k, w
-		if b.now-w.used < trustIdle && !k.at.Doubtful() {
-			p.send(w)
-			return
-		}
-		p.ping(w)
+		p.give(w, k)
 		return
 	}
 	if p.wires >= p.room() && !p.closeOldest() {
-		p.r.Done(b.now, k.at, route.Dropped)
-		k.at = nil
+		p.done(k, route.Dropped)
 		p.end(k, overload.Full)
 		return
 	}
@@ -167,27 +158,33 @@
 		p.free(w)
 		return
 	}
+	p.give(w, k)
+}
+
+// give has a connection carry a call. Where it was idle, or its peer is in doubt, it is asked first whether anybody is there.
+func (p *peers) give(w *peerWire, k *call) {
+	b := p.b
 	w.k, k.jw = k, w
-	if at.Doubtful() {
-		p.ping(w)
+	if b.now-w.used < trustIdle && !w.at.Doubtful() {
+		p.send(w)
 		return
 	}
-	p.send(w)
+	w.pong = b.now + pongWait
+	b.at(w.pong)
+	b.scratch = ajp.AppendCPing(b.scratch[:0])
+	w.c.Write(b.scratch)
 }
 
-// ping asks whether anybody is there before a call goes out.
-func (p *peers) ping(w *peerWire) {
-	w.pong = p.b.now + pongWait
-	p.b.at(w.pong)
-	p.b.scratch = ajp.AppendCPing(p.b.scratch[:0])
-	w.c.Write(p.b.scratch)
+// done tells the router how a call ended at its peer, where it is no more.
+func (p *peers) done(k *call, how route.Outcome) {
+	p.r.Done(p.b.now, k.at, how)
+	k.at, k.jw = nil, nil
 }
 
 // elsewhere follows the proof that a call never ran at its peer: another may have it.
 func (p *peers) elsewhere(k *call, how route.Outcome, proved overload.Outcome) {
-	p.r.Done(p.b.now, k.at, how)
-	k.tried = append(k.tried, k.at)
-	k.at, k.jw, k.proved = nil, nil, proved
+	k.tried, k.proved = append(k.tried, k.at), proved
+	p.done(k, how)
 	if p.b.now >= k.till {
 		p.end(k, proved)
 		return
@@ -242,8 +239,7 @@
 	}
 	switch a.Status {
 	case 200:
-		p.r.Done(b.now, k.at, route.Good)
-		k.at = nil
+		p.done(k, route.Good)
 		b.link.answer(k.r, a.Body)
 		p.end(k, overload.OK)
 	case 429, 503: // it never ran
@@ -252,8 +248,7 @@
 			here = here || bytes.EqualFold(name, dontRetryName) && string(value) == "1"
 		})
 		if here {
-			p.r.Done(b.now, k.at, route.Declined)
-			k.at = nil
+			p.done(k, route.Declined)
 			p.end(k, overload.Full)
 			return
 		}
@@ -263,8 +258,7 @@
 		if a.Status == 504 {
 			how = overload.TimedOut
 		}
-		p.r.Done(b.now, k.at, route.Good)
-		k.at = nil
+		p.done(k, route.Good)
 		p.end(k, how)
 	}
 }
@@ -309,8 +303,7 @@
 	case w.pong > 0 || c.Sent() <= w.sent:
 		p.elsewhere(k, route.Fault, overload.NoConnection)
 	default:
-		p.r.Done(p.b.now, k.at, route.Fault)
-		k.at, k.jw = nil, nil
+		p.done(k, route.Fault)
 		p.end(k, overload.BrokenOff)
 	}
 }
@@ -324,12 +317,12 @@
 
 // drop takes a call from its peer, of which nothing is known, and ends its connection: AJP has no other abort.
 func (p *peers) drop(k *call, how route.Outcome) {
+	w := k.jw
 	if k.at != nil {
-		p.r.Done(p.b.now, k.at, how)
-		k.at = nil
+		p.done(k, how)
 	}
-	if w := k.jw; w != nil {
-		w.k, k.jw = nil, nil
+	if w != nil {
+		w.k = nil
 		p.close(w)
 	}
 }
--- a/backend/tier.go
+++ b/backend/tier.go
@@ -67,13 +67,10 @@
 }
 
 // room is how many connections it may hold.
-func (t *tier) room() int { return max(1, int(wireShare*float64(t.b.cfg.Limits.Sockets))) }
+func (t *tier) room() int { return t.b.wireRoom() }
 
 func (t *tier) invoke(r *req, after time.Duration) {
-	b := t.b
-	b.count.Calls++
-	k := &call{r: r, began: b.now, till: b.now + after}
-	r.at, r.call = calling, k
+	k := t.b.callBegins(r, after)
 	t.calls[r.id] = k
 	if t.address == "" {
 		t.end(k, overload.NoConnection)
@@ -243,6 +240,17 @@
 	b.callEnded(k, how)
 }
 
+// wireRoom is how many connections to the next tier there may be.
+func (b *Backend) wireRoom() int { return max(1, int(wireShare*float64(b.cfg.Limits.Sockets))) }
+
+// callBegins has the run of a req wait for a call.
+func (b *Backend) callBegins(r *req, after time.Duration) *call {
+	b.count.Calls++
+	k := &call{r: r, began: b.now, till: b.now + after}
+	r.at, r.call = calling, k
+	return k
+}
+
 // callEnded tells the module of the end of a call.
 func (b *Backend) callEnded(k *call, how overload.Outcome) {
 	r := k.r
--- a/internal/ajp/client.go
+++ b/internal/ajp/client.go
@@ -161,7 +161,7 @@
 
 // AppendPart adds the next part of a body and gives the rest; of an empty one the packet that ends it.
 func AppendPart(b, body []byte, most int) (out, rest []byte) {
-	k := min(len(body), most-headLen-2)
+	k := min(len(body), PartMost(most))
 	return packet(b, toServer0, toServer1, func(b []byte) []byte {
 		if k == 0 {
 			return b
--- a/internal/ajp/server.go
+++ b/internal/ajp/server.go
@@ -342,7 +342,7 @@
 // AppendMore asks for the next part of a body.
 func AppendMore(b []byte, most int) []byte {
 	return packet(b, toClient0, toClient1, func(b []byte) []byte {
-		return appendUint16(append(b, codeGetChunk), min(most-headLen-2, BodyMost+1))
+		return appendUint16(append(b, codeGetChunk), min(PartMost(most), BodyMost+1))
 	})
 }
 
--- a/internal/cli/figures.go
+++ b/internal/cli/figures.go
@@ -204,14 +204,7 @@
 		case "reason":
 			for why, n := range r.Reasons {
 				f := account.Figures{Taken: n}
-				switch account.ReasonOf(why).Figure() {
-				case account.Served:
-					f.Served = n
-				case account.Refused:
-					f.Refused = n
-				default:
-					f.Failed = n
-				}
+				f.Add(account.ReasonOf(why), n)
 				add(why, f)
 			}
 			if r.Figures.Open != 0 {
--- a/internal/figures/file.go
+++ b/internal/figures/file.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -192,9 +193,7 @@
 		}
 		out = append(out, op)
 	}
-	for i, j := 0, len(out)-1; i < j; i, j = i+1, j-1 {
-		out[i], out[j] = out[j], out[i]
-	}
+	slices.Reverse(out)
 	return out, nil
 }
 
@@ -236,7 +235,7 @@
 	return unix.Fallocate(fd, 0, 0, size)
 }
 
-// create makes a file with room for such a book and puts it in the place of the one before; nothing is in it yet.
+// create makes a file with room for such a book, under a name of its own until publish; nothing is in it yet.
 // The room is taken on the disk at once: a full one is an error here and not a fault later.
 func create(path string, l layout) (f *file, err error) {
 	if !l.sound() {
@@ -310,8 +309,6 @@
 
 // append writes ops, closed periods, and a snapshot when it is time.
 func (f *file) append(b *account.Book) error {
-	first, next := b.Periods()
-	rolled := f.places > 0 && next > f.next
 	many := false
 	b.Drain(func(ops []account.Op) {
 		if many = len(ops) > f.ops/4; many {
@@ -321,18 +318,25 @@
 			ops[i].Put(f.data[f.opAt(ops[i].Seq):][:account.OpSize])
 		}
 	})
-	if rolled {
-		for n := max(first, f.next); n < next; n++ {
-			f.putPeriod(n, b.PeriodData(n))
-		}
-		f.next = next
-	}
-	if rolled || many || b.Seq()-f.at > uint64(f.ops/4) {
+	if f.putPeriods(b) || many || b.Seq()-f.at > uint64(f.ops/4) {
 		return f.checkpoint(b)
 	}
 	return nil
 }
 
+// putPeriods writes the closed periods that are not written, and tells whether there were any.
+func (f *file) putPeriods(b *account.Book) bool {
+	first, next := b.Periods()
+	if f.places == 0 || next <= f.next {
+		return false
+	}
+	for n := max(first, f.next); n < next; n++ {
+		f.putPeriod(n, b.PeriodData(n))
+	}
+	f.next = next
+	return true
+}
+
 func (f *file) putPeriod(number uint64, data []byte) {
 	le := binary.LittleEndian
 	p := f.data[f.periodAt(number):][:f.period]
@@ -360,13 +364,7 @@
 // start writes a book into a new file: all its closed periods and a snapshot. Ops since the last drain are in it.
 func (f *file) start(b *account.Book) error {
 	b.Drain(func([]account.Op) {})
-	if f.places > 0 {
-		first, next := b.Periods()
-		for n := first; n < next; n++ {
-			f.putPeriod(n, b.PeriodData(n))
-		}
-		f.next = next
-	}
+	f.putPeriods(b)
 	return f.checkpoint(b)
 }
 
--- a/internal/figures/recorder.go
+++ b/internal/figures/recorder.go
@@ -169,11 +169,7 @@
 
 func rebooted(b *account.Book) bool {
 	list, _, _ := b.Lives()
-	if len(list) == 0 {
-		return false
-	}
-	apart := boot() - list[len(list)-1].Boot
-	return apart > time.Minute || apart < -time.Minute
+	return len(list) > 0 && list[len(list)-1].Rebooted(boot())
 }
 
 // Up tells whether the book is being recorded.
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -54,18 +54,8 @@
 		Args: []Arg{{Name: "address", Kind: "a loopback address and a port, as 127.0.0.1:9180", Set: loopback}}},
 	{Name: "ajp listen", Help: "serve front ends that speak AJP/1.3 there",
 		Args: []Arg{{Name: "address", Kind: "an address and a port, as 127.0.0.1:8009", Set: func(c *Config, v string) error {
-			host, port, err := net.SplitHostPort(v)
-			if err != nil {
-				return errors.New("no address with a port")
-			}
-			if net.ParseIP(host) == nil {
-				return errors.New("no address")
-			}
-			if _, err := whole(port, 0, 65535); err != nil {
-				return fmt.Errorf("its port is %w", err)
-			}
 			c.AJP.Listen = v
-			return nil
+			return listens(v, "no address", func(net.IP) bool { return true })
 		}}}},
 	{Name: "ajp secret file", Needs: "ajp listen", Help: "what each req over AJP must bring; the file's first line",
 		Args: []Arg{{Name: "path", Kind: "a file that can be read, with one line", Set: func(c *Config, v string) error {
@@ -133,7 +123,7 @@
 	{Name: "route trial", Needs: "next-tier ajp", Help: "share of the calls that a returning peer gets, and how many must go well",
 		Args: []Arg{
 			{Name: "share", Kind: "a share from 1% to 100%", Set: func(c *Config, v string) (err error) {
-				c.NextAJP.Route.Trial, err = percent(v, 1)
+				c.NextAJP.Route.Trial, err = percent(v)
 				return err
 			}},
 			{Name: "word", Word: "passes"},
@@ -143,12 +133,12 @@
 			}}}},
 	{Name: "route floor", Needs: "next-tier ajp", Help: "share of the peers that stay in service whatever their faults",
 		Args: []Arg{{Name: "share", Kind: "a share from 1% to 100%", Set: func(c *Config, v string) (err error) {
-			c.NextAJP.Route.Floor, err = percent(v, 1)
+			c.NextAJP.Route.Floor, err = percent(v)
 			return err
 		}}}},
 	{Name: "route budget", Needs: "next-tier ajp", Help: "further tries as a share of first ones",
 		Args: []Arg{{Name: "share", Kind: "a share from 1% to 100%", Set: func(c *Config, v string) (err error) {
-			c.NextAJP.Route.Budget, err = percent(v, 1)
+			c.NextAJP.Route.Budget, err = percent(v)
 			return err
 		}}}},
 	{Name: "figures file", Help: "record the figures there, so that they outlive the process",
@@ -220,12 +210,12 @@
 	return d, nil
 }
 
-func percent(v string, least int) (float64, error) {
+func percent(v string) (float64, error) {
 	number, ok := strings.CutSuffix(v, "%")
 	if !ok {
 		return 0, errors.New("no share in percent")
 	}
-	n, err := whole(number, least, 100)
+	n, err := whole(number, 1, 100)
 	return float64(n) / 100, err
 }
 
@@ -246,16 +236,21 @@
 func (c *Config) lastPeer() *route.Peer { return &c.NextAJP.Route.Peers[len(c.NextAJP.Route.Peers)-1] }
 
 func loopback(c *Config, v string) error {
+	c.Admin = v
+	return listens(v, "no loopback address", net.IP.IsLoopback)
+}
+
+// listens checks an address that is listened on.
+func listens(v, otherwise string, good func(net.IP) bool) error {
 	host, port, err := net.SplitHostPort(v)
 	if err != nil {
 		return errors.New("no address with a port")
 	}
-	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
-		return errors.New("no loopback address")
+	if ip := net.ParseIP(host); ip == nil || !good(ip) {
+		return errors.New(otherwise)
 	}
 	if _, err := whole(port, 0, 65535); err != nil {
 		return fmt.Errorf("its port is %w", err)
 	}
-	c.Admin = v
 	return nil
 }
--- a/internal/stand/ask.go
+++ b/internal/stand/ask.go
@@ -136,23 +136,14 @@
 	if outcome != Served {
 		return outcome
 	}
-	switch {
-	case got.Status == 200 && got.Body == Result(r.ID, r.Body):
-		return Served
-	case got.Status == 200:
-		return Wrong
-	case got.Status == 429 || got.Status == 503:
-		return Refused
-	}
-	return Failed
+	return outcomeOf(got.Status, got.Body, Result(r.ID, r.Body))
 }
 
 // Exchange sends a req and gives its whole answer: Served if there is one, whatever it says.
 func (a *AJP) Exchange(r *Req, patient time.Duration) (Answer, Outcome) {
 	a.mu.Lock()
 	var c net.Conn
-	used := len(a.idle) > 0
-	if used {
+	if len(a.idle) > 0 {
 		c = a.idle[len(a.idle)-1]
 		a.idle = a.idle[:len(a.idle)-1]
 	}
--- a/internal/stand/edge.go
+++ b/internal/stand/edge.go
@@ -83,12 +83,17 @@
 	fields, body, _ := strings.Cut(text, "\r\n\r\n")
 	status, _, _ := strings.Cut(strings.TrimPrefix(fields, "Status: "), " ")
 	n, _ := strconv.Atoi(strings.TrimSpace(status))
+	return outcomeOf(n, body, result)
+}
+
+// outcomeOf is what a status and a body say.
+func outcomeOf(status int, body, result string) Outcome {
 	switch {
-	case n == 200 && body == result:
+	case status == 200 && body == result:
 		return Served
-	case n == 200:
+	case status == 200:
 		return Wrong
-	case n == 429 || n == 503:
+	case status == 429 || status == 503:
 		return Refused
 	}
 	return Failed
--- a/route/route.go
+++ b/route/route.go
@@ -68,7 +68,6 @@
 	State       State
 	Outstanding int
 	Gone        bool // no longer among the peers: it gets no more, what it has may end
-	Picks       int64
 
 	faults   int           // in a row
 	declines int           // in a row: it works, and has no room
@@ -138,7 +137,7 @@
 func (r *Router) Pick(now time.Duration, sticky string, not ...*Target) *Target {
 	if len(not) == 0 {
 		r.tokens = min(budgetTop, r.tokens+r.cfg.Budget)
-	} else if r.tokens < 1 || r.failing(now) {
+	} else if r.tokens < 1 || r.failing() {
 		return nil
 	}
 	var best *Target
@@ -163,7 +162,6 @@
 	r.picks++
 	best.last = r.picks
 	best.Outstanding++
-	best.Picks++
 	return best
 }
 
@@ -215,7 +213,7 @@
 }
 
 // failing tells whether the tier as a whole fails: every peer is out, on trial, or has just failed.
-func (r *Router) failing(now time.Duration) bool {
+func (r *Router) failing() bool {
 	for _, t := range r.targets {
 		if t.State == In && t.faults == 0 {
 			return false
