--- /dev/null
+++ b/internal/keeplog/crash_test.go
@@ -0,0 +1,232 @@
+package keeplog_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"frosthub/internal/keeplog"
+	"frosthub/internal/stand"
+	"frosthub/keep"
+)
+
+var cuts = flag.Int("cuts", 600, "histories with power lost by chance; 100000 outside CI")
+
+// small has segments that fill, retire and go within a hundred reqs.
+var small = keep.Config{Entries: 20, Bytes: 600, ResultMost: 64, Lifetime: 20 * time.Second, Horizon: 160 * time.Second, Segments: 24,
+	Prints: 12, SegmentBytes: 1500}
+
+const noon = 500_000 * time.Hour
+
+func keyOf(n int) (k keep.Key) {
+	binary.BigEndian.PutUint64(k[8:], uint64(n))
+	return k
+}
+
+// lab is a box without sockets: a store on a disk, a processor that counts effects, and callers that repeat.
+type lab struct {
+	t    *testing.T
+	r    *rand.Rand
+	disk *stand.Disk
+	now  time.Duration
+	note string
+
+	s *keep.Store
+	w *keeplog.Writer
+
+	ids     uint64
+	keyOf   map[uint64]int
+	running []uint64
+	effects map[int]int
+	answers map[int][]byte
+	first   map[int]time.Duration // when a key was first made
+	doubted int
+	keys    int
+	offered [16]int
+}
+
+func newLab(t *testing.T, seed uint64, note string) *lab {
+	l := &lab{t: t, r: rand.New(rand.NewPCG(seed, 3)), disk: stand.NewDisk(), now: noon, note: note, keyOf: map[uint64]int{},
+		effects: map[int]int{}, answers: map[int][]byte{}, first: map[int]time.Duration{}}
+	if err := keeplog.Init(l.disk, "n1", noon, seed); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func (l *lab) fatal(format string, args ...any) {
+	l.t.Helper()
+	l.t.Fatalf("%s: %s", l.note, fmt.Sprintf(format, args...))
+}
+
+// start reads the disk; it may lose power in that.
+func (l *lab) start() bool {
+	l.s, l.running, l.keyOf = keep.New(small), nil, map[uint64]int{}
+	found, err := keeplog.Read(l.disk, "n1", l.s, nil)
+	if err != nil {
+		l.fatal("reading: %v", err)
+	}
+	if !found.Whole() {
+		l.fatal("what was only cut is taken for damage: %v", found.Damage)
+	}
+	if err := found.Clean(l.disk); err != nil {
+		return false
+	}
+	l.w = keeplog.NewWriter(l.disk, &found)
+	l.s.Restarted(l.now, found.Fresh(), found.Last)
+	return l.commit()
+}
+
+func (l *lab) commit() bool {
+	writes := l.s.Writes()
+	if err := l.w.Commit(writes); err != nil {
+		if !errors.Is(err, stand.ErrPower) {
+			l.fatal("%v", err)
+		}
+		return false
+	}
+	seq := uint64(0)
+	for _, w := range writes {
+		seq = max(seq, w.Seq)
+	}
+	l.heed(l.s.Durable(seq))
+	return true
+}
+
+func resultOf(key int) []byte { return fmt.Appendf(nil, "claim %d is filed, %x", key, key*key) }
+
+func (l *lab) heed(all []keep.Outcome) {
+	for _, o := range all {
+		key := l.keyOf[o.ID]
+		l.offered[o.Verdict]++
+		switch o.Verdict {
+		case keep.Begin:
+			if l.effects[key]++; l.effects[key] > 1 {
+				l.fatal("key %d ran twice", key)
+			}
+			l.running = append(l.running, o.ID)
+		case keep.Done, keep.Repeat:
+			if !bytes.Equal(o.Result, resultOf(key)) {
+				l.fatal("key %d: %q, not the first answer", key, o.Result)
+			}
+			l.answers[key] = o.Result
+		case keep.InDoubt:
+			if l.answers[key] != nil {
+				l.fatal("key %d was answered, and is in doubt now", key)
+			}
+			l.doubted++
+		case keep.Blind:
+			l.fatal("key %d: nothing is lost, and nobody can tell", key)
+		case keep.NoRoom, keep.Unguarded, keep.Fresh:
+			if l.effects[key] > 0 {
+				l.fatal("key %d ran and is refused", key)
+			}
+		}
+	}
+}
+
+// step is one thing that happens, as the seed has it.
+func (l *lab) step() bool {
+	l.now += time.Duration(l.r.IntN(1500)) * time.Millisecond
+	switch n := l.r.IntN(10); {
+	case n < 4: // a fresh claim, or a repeat within the horizon
+		key := l.keys
+		if l.keys == 0 || l.r.IntN(2) == 0 {
+			l.keys++
+			key = l.keys
+			l.first[key] = l.now
+		} else if key = l.keys - l.r.IntN(min(l.keys, 60)); l.now-l.first[key] > small.Horizon-time.Second {
+			return true
+		}
+		l.ids++
+		l.keyOf[l.ids] = key
+		l.heed([]keep.Outcome{l.s.Arrive(l.now, l.first[key], keyOf(key), l.ids)})
+	case n < 7 && len(l.running) > 0:
+		i := l.r.IntN(len(l.running))
+		id := l.running[i]
+		l.running = append(l.running[:i], l.running[i+1:]...)
+		key := l.keyOf[id]
+		switch l.r.IntN(12) {
+		case 0:
+			l.heed(l.s.Ended(l.now, keyOf(key), keep.Failed, nil))
+		case 1:
+			l.effects[key]--
+			l.heed(l.s.Ended(l.now, keyOf(key), keep.Never, nil))
+		default:
+			l.heed(l.s.Ended(l.now, keyOf(key), keep.Result, resultOf(key)))
+		}
+	case n < 9:
+		return l.commit()
+	default:
+		l.s.Tidy(l.now)
+	}
+	return true
+}
+
+// play takes so many steps; where the power goes, it comes back, and all goes on.
+func (l *lab) play(steps int) {
+	up := l.start()
+	for range steps {
+		if up {
+			up = l.step()
+		}
+		for !up {
+			l.disk = l.disk.After(l.r)
+			if l.r.IntN(3) == 0 {
+				l.disk.Left = 1 + l.r.IntN(6) // again, while it comes back
+			}
+			l.now += time.Duration(l.r.IntN(5)-1) * time.Second
+			up = l.start()
+		}
+	}
+}
+
+// TestEveryCut loses power at each operation of a scripted history of some hundred reqs, and goes on.
+func TestEveryCut(t *testing.T) {
+	const steps = 700
+	whole := newLab(t, 1, "no cut")
+	whole.play(steps)
+	ops := whole.disk.Done()
+	if whole.keys < 100 || ops < 300 || whole.offered[keep.TooLate] == 0 || whole.offered[keep.Repeat] == 0 {
+		t.Fatal("the script shows too little: ", whole.keys, ops, whole.offered)
+	}
+	doubts := 0
+	for cut := 1; cut <= ops; cut++ {
+		l := newLab(t, 1, fmt.Sprint("cut at operation ", cut))
+		l.disk.Left = cut
+		l.play(steps)
+		doubts += l.doubted
+	}
+	t.Logf("%d keys, %d operations, each cut; verdicts without a cut %v; %d answers in doubt in all", whole.keys, ops, whole.offered, doubts)
+	if doubts == 0 {
+		t.Error("no cut left anything in doubt")
+	}
+}
+
+// TestCutsByChance does the same with other histories, and power that goes again and again.
+func TestCutsByChance(t *testing.T) {
+	lost, doubts := 0, 0
+	for seed := range uint64(*cuts) {
+		l := newLab(t, seed+2, fmt.Sprint("seed ", seed+2))
+		l.disk.Left = 1 + l.r.IntN(60)
+		up := l.start()
+		for range 300 {
+			if up {
+				up = l.step()
+			}
+			for !up {
+				lost++
+				l.disk = l.disk.After(l.r)
+				l.disk.Left = 1 + l.r.IntN(90)
+				up = l.start()
+			}
+		}
+		doubts += l.doubted
+	}
+	t.Logf("%d histories, power lost %d times, %d answers in doubt", *cuts, lost, doubts)
+}
