--- a/account/reason.go
+++ b/account/reason.go
@@ -25,6 +25,10 @@
 	Aged           Reason = 9
 	NotReady       Reason = 10
 	Slots          Reason = 11
+	Unprotected    Reason = 12
+	StillReading   Reason = 13
+	KeepFull       Reason = 14
+	ComeAgain      Reason = 15
 	BadFields      Reason = 16
 	NoHandler      Reason = 17
 	NotWhole       Reason = 18
@@ -44,8 +48,11 @@
 	CutByKill      Reason = 32
 	InDoubt        Reason = 33
 	BadSecret      Reason = 34
+	KeptDoubt      Reason = 35
+	KeptAged       Reason = 36
+	KeptBlind      Reason = 37
 
-	reasons = 35 // of a row of cells
+	reasons = 38 // of a row of cells
 )
 
 // Meaning is a reason's figure, its word in reports, and what it says.
@@ -63,6 +70,10 @@
 	Aged:           {Refused, "aged", "older than its client timeout when it was read"},
 	NotReady:       {Refused, "not-ready", "the processor was not up yet"},
 	Slots:          {Refused, "slots", "more reqs open on its connection than the protocol allows"},
+	Unprotected:    {Refused, "not-protected", "must not run twice, and the disk that keeps what ran has failed"},
+	StillReading:   {Refused, "still-reading", "must not run twice, and what ran before is still being read from the disk"},
+	KeepFull:       {Refused, "keep-full", "must not run twice, and there is no room to keep that it ran"},
+	ComeAgain:      {Refused, "come-again", "repeats a req that is now proved never to have run"},
 	BadFields:      {Failed, "bad-fields", "a field is missing, out of range or too long"},
 	NoHandler:      {Failed, "no-handler", "its handler is not known here"},
 	NotWhole:       {Failed, "not-whole", "it did not come whole in time"},
@@ -80,6 +91,9 @@
 	Undelivered:    {Failed, "undelivered", "answered, but its connection ended before the last byte was handed to the system"},
 	CutByStop:      {Failed, "cut-by-stop", "still open when the process ended by itself"},
 	CutByKill:      {Failed, "cut-by-kill", "still open when the process was ended or died"},
+	KeptDoubt:      {Failed, "kept-in-doubt", "repeats a req that may have run before the process died"},
+	KeptAged:       {Failed, "kept-aged", "repeats a req that ran, whose result is no longer kept"},
+	KeptBlind:      {Failed, "kept-blind", "must not run twice, and records of what ran are lost"},
 	BadSecret:      {Failed, "bad-secret", "it brought another secret than the front ends', or none"},
 	InDoubt:        {Failed, "in-doubt", "the process died while its answer was being handed to the system"},
 }
--- a/backend/ajp.go
+++ b/backend/ajp.go
@@ -129,8 +129,10 @@
 			return objectField
 		}
 	}
-	if own := x.f.b.cfg.Figures.CustomerField; own != "" && bytes.EqualFold(name, []byte(own)) {
-		return customerField
+	for _, own := range x.f.own {
+		if bytes.EqualFold(name, []byte(own.header)) {
+			return own.means
+		}
 	}
 	return otherField
 }
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -70,6 +70,7 @@
 	tier      nextTier
 	lease     lease
 	keys      keys
+	keeper    keeper
 	count     Counters
 	turned    atomic.Int64 // connections that found no room
 	notes     map[string]*seldom.Line
@@ -102,7 +103,8 @@
 		requested: make(chan func()), stopped: make(chan struct{})}
 	part, _ := cfg.Settings["backend"].(map[string]any)
 	b.canStop = part["halt"] != nil && part["halt"] != "off"
-	list, _ := cfg.Settings["handlers"].([]any)
+	b.cfg.Settings = b.keeper.init(b)
+	list, _ := b.cfg.Settings["handlers"].([]any)
 	for _, v := range list {
 		m, _ := v.(map[string]any)
 		name, _ := m["name"].(string)
@@ -185,6 +187,8 @@
 		return err
 	}
 	defer b.closeListener()
+	b.keeper.open()
+	defer b.keeper.close()
 	if err := b.listen(b.cfg.Listen, b.door.fastCGI); err != nil {
 		return err
 	}
@@ -218,6 +222,7 @@
 		b.link.askStrange()
 		b.lookAtTime()
 		b.decide()
+		b.keeper.hand()
 		b.lease.report(b)
 		if b.finished() {
 			b.flush(t)
@@ -276,6 +281,7 @@
 		b.tidyAt = b.now + tidyEvery
 		b.door.tidy()
 		b.keys.tidy()
+		b.keeper.tidy()
 		b.audit()
 	}
 	b.at(b.tidyAt)
@@ -316,7 +322,7 @@
 			invariant.Check(r.edge.open[r.slot] == r, "an owed req holds its slot")
 			invariant.Check(r.at != strange || slices.Contains(b.link.strange, r), "a strange req is asked for")
 		} else {
-			invariant.Check(r.at >= running, "what is kept without being owed runs")
+			invariant.Check(r.at >= noting, "what is kept without being owed runs")
 		}
 		if r.call != nil {
 			calls++
--- a/backend/config.go
+++ b/backend/config.go
@@ -30,6 +30,7 @@
 	Figures   Figures        // of the operator, as what follows
 	AJP       AJP
 	NextAJP   NextAJP // instead of NextTier
+	Keep      Keep
 }
 
 // Limits are those of the process.
--- a/backend/door.go
+++ b/backend/door.go
@@ -45,7 +45,7 @@
 	edges map[*edge]struct{}
 	parts int // bytes of reqs that are not yet whole, of all
 
-	customerParam string // the customer's header as CGI names it, empty for none
+	own []ownField // those that the operator named
 }
 
 // protocol is what one way to ask has of its own: its parser, the slots of a connection, how an answer is cut.
@@ -108,11 +108,21 @@
 
 func (f *door) init(b *Backend) {
 	f.b, f.edges = b, map[*edge]struct{}{}
-	if name := b.cfg.Figures.CustomerField; name != "" {
-		f.customerParam = "HTTP_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+	for _, x := range []ownField{{b.cfg.Figures.CustomerField, "", customerField}, {b.cfg.Keep.KeyField, "", keyField},
+		{b.cfg.Keep.MadeField, "", madeField}} {
+		if x.header != "" {
+			x.param = "HTTP_" + strings.ToUpper(strings.ReplaceAll(x.header, "-", "_"))
+			f.own = append(f.own, x)
+		}
 	}
 }
 
+// ownField is a header that an operator gave a meaning.
+type ownField struct {
+	header, param string // as HTTP and as CGI name it
+	means         field
+}
+
 // room is how many connections there may be in all when one more is accepted: calls always find theirs.
 func (f *door) room() int { return f.b.cfg.Limits.Sockets - spare - f.b.tier.room() }
 
@@ -246,6 +256,8 @@
 	rankField
 	objectField
 	customerField
+	keyField
+	madeField
 )
 
 // asked is a req whose fields are being read.
@@ -257,7 +269,10 @@
 	started     float64
 	hasStart    bool
 	customer    account.Name
-	why         string // what is wrong with it
+	owner       []byte  // the customer's name whole, and
+	key         []byte  // the field that names what must not run twice: both only where something is guarded
+	made        float64 // Unix milliseconds; 0 not told
+	why         string  // what is wrong with it
 }
 
 // newAsked begins one.
@@ -291,7 +306,7 @@
 			a.why = "a field is no number in its range"
 		}
 		if a.b.cfg.Figures.CustomerField == "" {
-			a.customer = account.NameOf(v)
+			a.owned(v)
 		}
 	case costField:
 		a.ev.Hint = time.Duration(a.number(v, 1e9) * float64(time.Millisecond))
@@ -302,7 +317,19 @@
 	case objectField:
 		a.ev.Subject = string(v)
 	case customerField:
-		a.customer = account.NameOf(v)
+		a.owned(v)
+	case keyField:
+		a.key = append(a.key[:0], v...)
+	case madeField:
+		a.made = a.number(v, math.MaxInt64/2)
+	}
+}
+
+// owned takes its customer.
+func (a *asked) owned(v []byte) {
+	a.customer = account.NameOf(v)
+	if a.b.keeper.on() {
+		a.owner = append(a.owner[:0], v...)
 	}
 }
 
@@ -328,6 +355,8 @@
 		why = "no id of 16 hex digits"
 	case !a.hasStart || ev.Size == 0:
 		why = "start or memory is missing"
+	case !b.keeper.named(a):
+		why = "no key, and it must not run twice"
 	case ev.Rank == 1 || ev.Size == sizeMost || ev.Hint > costMost*b.handlers[r.h].timeout ||
 		a.started > float64(b.unix+aheadMost.Milliseconds()):
 		why = "a field is out of its range"
@@ -351,6 +380,7 @@
 	}
 	ev.ID, ev.Handler, ev.Unread = r.id, r.h, unread
 	r.of, r.ev, r.since = subject{r.h, ev.Subject}, *ev, b.now
+	r.guard = b.keeper.guards(a)
 	b.reqs[r.id] = r
 	b.owed++
 	e.open[r.slot] = r
@@ -409,6 +439,11 @@
 
 func (f *door) errored(r *req, why account.Reason) { f.final(r, why, &reply{status: 500}) }
 
+// refused turns away what the module has not, or no longer, to decide about.
+func (f *door) refused(r *req, why account.Reason, after time.Duration) {
+	f.final(r, why, &reply{status: 503, after: after})
+}
+
 func (f *door) shed(r *req, after time.Duration, dontRetry bool) {
 	f.final(r, account.Shed, &reply{status: 503, after: after, dontRetry: dontRetry})
 }
--- a/backend/fcgi.go
+++ b/backend/fcgi.go
@@ -82,8 +82,10 @@
 	case "HTTP_X_OBJECT":
 		return objectField
 	}
-	if own := x.f.customerParam; own != "" && string(name) == own {
-		return customerField
+	for _, own := range x.f.own {
+		if string(name) == own.param {
+			return own.means
+		}
 	}
 	return otherField
 }
--- /dev/null
+++ b/backend/keeper.go
@@ -0,0 +1,534 @@
+package backend
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"frosthub/account"
+	"frosthub/internal/hold"
+	"frosthub/internal/invariant"
+	"frosthub/internal/keeplog"
+	"frosthub/keep"
+	"frosthub/overload"
+)
+
+// Part is one thing that goes into the key of a guarded req. Its number goes there too.
+type Part uint8
+
+// The parts.
+const (
+	PartID       Part = 1 // as it came: a further try under another id is another req
+	PartCustomer Part = 2
+	PartField    Part = 3 // Keep.KeyField, which must be there
+	PartBody     Part = 4
+)
+
+// Keep says what must not run twice, also over restarts. The zero value keeps nothing.
+type Keep struct {
+	Dir       string            // of the store; empty: none
+	Handlers  map[string][]Part // the guarded ones, and what their keys are made of
+	KeyField  string            // the header for PartField
+	MadeField string            // the header with the time at which a req was first made, in Unix milliseconds
+	Bounds    keep.Config       // 0 as Defaults has it
+	Gather    time.Duration     // that a write may wait for others; gatherUsual if 0
+
+	Disk keeplog.Disk // in place of the folder, but for its lock: tests have disks that fail
+}
+
+const (
+	entryBytes   = 200                   // of memory for a key with its result, without the result
+	entryShare   = 0.1                   // of the memory limit, for all of these
+	resultShare  = 0.08                  // and for the results
+	memoryNone   = 512 << 20             // bytes taken for the limit where there is none
+	lifetime     = time.Hour             // of a result
+	horizon      = 24 * time.Hour        // of prints
+	segmentsMost = 64                    // eight times what the keys with results fill
+	segmentParts = 8                     // segments that keys with results fill
+	resultMost   = 64 << 10              // bytes of a result
+	gatherUsual  = 2 * time.Millisecond  // for a commit: a tenth of a run
+	gatherEnough = 64                    // records that are worth a commit at once
+	patientEnd   = 50 * time.Millisecond // for the disk when the process ends: all answers have left
+	progress     = time.Second           // between words on how far the reading is
+	lookEach     = 4096                  // records read between looks at the clock
+)
+
+// Defaults fills in what the bounds leave open, for a box with so much memory.
+func (k *Keep) Defaults(memoryMB float64) {
+	memory := memoryMB * (1 << 20)
+	if memory <= 0 {
+		memory = memoryNone
+	}
+	c := &k.Bounds
+	set := func(v *int, usual float64) {
+		if *v == 0 {
+			*v = int(usual)
+		}
+	}
+	set(&c.Entries, entryShare*memory/entryBytes)
+	set(&c.Bytes, resultShare*memory)
+	set(&c.ResultMost, float64(min(resultMost, c.Bytes)))
+	set(&c.Segments, segmentsMost)
+	set(&c.Prints, max(16, float64(c.Entries)/segmentParts))
+	set(&c.SegmentBytes, max(4096, float64(c.Bytes+c.Entries*64)/segmentParts))
+	if c.Lifetime == 0 {
+		c.Lifetime = min(lifetime, cmp.Or(c.Horizon, horizon))
+	}
+	if c.Horizon == 0 {
+		c.Horizon = max(horizon, c.Lifetime)
+	}
+	if k.Gather == 0 {
+		k.Gather = gatherUsual
+	}
+}
+
+// guarded is what a req has that must not run twice.
+type guarded struct {
+	key  keep.Key
+	made time.Duration // since 1970; 0 not told
+	how  overload.Outcome
+	why  account.Reason
+	took time.Duration // of its run, once that has ended
+	kept bool          // its end was told to the store
+}
+
+// keeper is the core's side of the store: it asks it before a guarded req is taken and before it is begun, and carries out what it
+// says. All decisions are the store's.
+type keeper struct {
+	b       *Backend
+	parts   [][]Part      // by handler; nil: not guarded
+	after   time.Duration // what a refused one is told to stay away
+	store   *keep.Store   // nil until it is read
+	log     *keeplog.Log
+	lock    *os.File
+	from    time.Duration // the span at which the time of day was base
+	base    time.Duration // both clocks are read once: a jump of one while the process runs changes nothing
+	broken  bool          // for this life: nothing can be protected
+	closing chan struct{}
+	gone    chan struct{} // closed when the reading is over
+	stats   KeepStats
+}
+
+// KeepStats tell what the store has done for reqs, and how it is.
+type KeepStats struct {
+	Reading   bool             `json:"reading"`
+	Broken    bool             `json:"broken"` // nothing can be protected in this life
+	Store     keep.Stats       `json:"store"`
+	Log       keeplog.LogStats `json:"log"`
+	Repeated  int64            `json:"repeated"`
+	InDoubt   int64            `json:"in_doubt"`
+	Aged      int64            `json:"aged"`
+	Blind     int64            `json:"blind"`
+	Refused   int64            `json:"refused"`
+	ReadingMS int64            `json:"reading_ms"`
+}
+
+// init finds out what is guarded, and gives the settings with those handlers as uniqued: the module then lets their repeats join,
+// and has a run go on when its caller is gone, as its answer is for whoever repeats it.
+func (k *keeper) init(b *Backend) map[string]any {
+	k.b = b
+	cfg := &b.cfg.Keep
+	if cfg.Dir == "" {
+		return b.cfg.Settings
+	}
+	cfg.Defaults(b.cfg.Limits.MemoryMB)
+	settings := maps.Clone(b.cfg.Settings)
+	limits, _ := settings["limits"].(map[string]any)
+	if advice, _ := limits["retry_after"].(bool); advice {
+		k.after, _ = limits["max_retry_after"].(time.Duration)
+	}
+	list, _ := settings["handlers"].([]any)
+	list = slices.Clone(list)
+	for i, v := range list {
+		m, _ := v.(map[string]any)
+		name, _ := m["name"].(string)
+		parts := cfg.Handlers[name]
+		k.parts = append(k.parts, parts)
+		if parts != nil {
+			m = maps.Clone(m)
+			m["repeats"], m["window"] = "uniqued", time.Duration(0)
+			list[i] = m
+		}
+	}
+	settings["handlers"] = list
+	return settings
+}
+
+func (k *keeper) on() bool { return k.parts != nil }
+
+// now is the time of day as the store has it.
+func (k *keeper) now() time.Duration { return k.base + k.b.now - k.from }
+
+// open has the store read, beside all else.
+func (k *keeper) open() {
+	b := k.b
+	if !k.on() {
+		return
+	}
+	for name := range b.cfg.Keep.Handlers {
+		if !slices.ContainsFunc(b.handlers, func(h handler) bool { return h.name == name }) {
+			b.log.Warn("keep", "dir", b.cfg.Keep.Dir, "why", "no such handler", "handler", name)
+		}
+	}
+	b.clock()
+	k.base, k.from = b.wall, b.now
+	k.closing, k.gone = make(chan struct{}), make(chan struct{})
+	began := b.now
+	go func() {
+		defer close(k.gone)
+		o := openStore(b.cfg.Name, &b.cfg.Keep, k.base, k.closing, func(n int) {
+			b.log.Info("keep", "dir", b.cfg.Keep.Dir, "reading", n)
+		})
+		b.box.Post(func() { k.opened(o, began) })
+	}()
+}
+
+// openedStore is what opening a store brings.
+type openedStore struct {
+	store *keep.Store
+	log   *keeplog.Writer
+	lock  *os.File
+	found keeplog.Found
+	err   error
+}
+
+var errClosing = errors.New("the process ends")
+
+// openStore reads a store; it is given up when closing is closed.
+func openStore(box string, cfg *Keep, now time.Duration, closing chan struct{}, told func(records int)) (o openedStore) {
+	disk := cfg.Disk
+	if disk == nil {
+		disk = keeplog.Folder(cfg.Dir)
+	}
+	if _, o.err = keeplog.Identify(disk); o.err != nil {
+		return o
+	}
+	if o.lock, o.err = hold.Take(filepath.Join(cfg.Dir, keeplog.LockName)); o.err != nil {
+		return o
+	}
+	o.store = keep.New(cfg.Bounds)
+	n, last := 0, time.Now()
+	o.found, o.err = keeplog.Read(disk, box, o.store, func(keep.Write) error {
+		if n++; n%lookEach != 0 {
+			return nil
+		}
+		select {
+		case <-closing:
+			return errClosing
+		default:
+		}
+		if time.Since(last) >= progress {
+			last = time.Now()
+			told(n)
+		}
+		return nil
+	})
+	if o.err == nil {
+		o.err = o.found.Clean(disk)
+	}
+	if o.err != nil {
+		return o
+	}
+	o.store.Restarted(now, o.found.Fresh(), o.found.Last)
+	o.log = keeplog.NewWriter(disk, &o.found)
+	return o
+}
+
+func (k *keeper) opened(o openedStore, began time.Duration) {
+	b, dir := k.b, k.b.cfg.Keep.Dir
+	k.lock = o.lock
+	if o.err != nil {
+		k.broken = true
+		b.log.Error("keep", "dir", dir, "why", o.err, "so", "guarded reqs are refused in this life")
+		return
+	}
+	for _, what := range o.found.Damage {
+		b.log.Error("keep", "dir", dir, "damage", what)
+	}
+	k.store = o.store
+	k.log = keeplog.NewLog(o.log, b.cfg.Keep.Gather, gatherEnough, func(seq uint64, err error) {
+		b.box.Post(func() { k.durable(seq, err) })
+	})
+	k.hand()
+	s := k.store.Stats()
+	k.stats.ReadingMS = (b.now - began).Milliseconds()
+	b.log.Info("keep", "dir", dir, "life", s.Life, "keys", s.Keys, "in_doubt", s.InDoubt, "prints", s.Prints, "segments", s.Segments,
+		"cut", o.found.Cut, "blind", s.Blind > 0, "took", b.now-began)
+}
+
+// durable follows the disk's word.
+func (k *keeper) durable(seq uint64, err error) {
+	if err == nil {
+		k.heed(k.store.Durable(seq))
+		return
+	}
+	k.broken = true
+	k.b.log.Error("keep", "dir", k.b.cfg.Keep.Dir, "why", err, "so", "guarded reqs are refused in this life, but for repeats")
+	k.heed(k.store.DiskFailed())
+}
+
+// named tells whether a req has what its key needs.
+func (k *keeper) named(a *asked) bool {
+	return !k.on() || len(a.key) > 0 || !slices.Contains(k.parts[a.r.h], PartField)
+}
+
+// guards gives what a req has that must not run twice, nil if it may.
+func (k *keeper) guards(a *asked) *guarded {
+	if !k.on() || k.parts[a.r.h] == nil {
+		return nil
+	}
+	h := sha256.New()
+	put := func(part Part, v []byte) {
+		var head [9]byte
+		head[0] = byte(part)
+		binary.LittleEndian.PutUint64(head[1:], uint64(len(v)))
+		_, _ = h.Write(head[:]) // never an error
+		_, _ = h.Write(v)
+	}
+	put(0, []byte(k.b.handlers[a.r.h].name))
+	for _, part := range k.parts[a.r.h] {
+		switch part {
+		case PartID:
+			put(part, []byte(a.r.name))
+		case PartCustomer:
+			put(part, a.owner)
+		case PartField:
+			put(part, a.key)
+		case PartBody:
+			put(part, a.r.body)
+		}
+	}
+	return &guarded{key: keep.Key(h.Sum(nil)), made: time.Duration(a.made * float64(time.Millisecond))}
+}
+
+// admit lets a guarded req go to the module, or answers it at once where that has nothing to decide: nothing can be run of it.
+func (k *keeper) admit(r *req) bool {
+	b := k.b
+	var verdict keep.Verdict
+	switch {
+	case k.store != nil:
+		verdict = k.store.Look(k.now(), r.guard.made, r.guard.key)
+	case k.broken:
+		verdict = keep.Unguarded
+	}
+	switch verdict {
+	case keep.Fresh:
+		return true
+	case keep.Known:
+		if r.fore = k.store.Forerunner(r.guard.key); r.fore == 0 || b.reqs[r.fore] == nil {
+			r.fore = binary.LittleEndian.Uint64(r.guard.key[:]) | 1 // of an earlier life, or ended: the module knows nothing of it
+		}
+		r.ev.RepeatOf = r.fore
+		return true
+	}
+	why := account.StillReading
+	if verdict != 0 {
+		why = k.reason(verdict)
+	}
+	if why.Figure() == account.Refused {
+		b.door.refused(r, why, k.after)
+	} else {
+		b.door.errored(r, why)
+	}
+	b.answered(r)
+	return false
+}
+
+// reason says how a verdict that ends a req is accounted for, and counts it.
+func (k *keeper) reason(v keep.Verdict) account.Reason {
+	switch v {
+	case keep.Repeat:
+		k.stats.Repeated++
+		return account.Repeated
+	case keep.Broken:
+		return account.Forerunner
+	case keep.InDoubt:
+		k.stats.InDoubt++
+		return account.KeptDoubt
+	case keep.TooLate:
+		k.stats.Aged++
+		return account.KeptAged
+	case keep.Blind:
+		k.stats.Blind++
+		return account.KeptBlind
+	}
+	k.stats.Refused++
+	switch v {
+	case keep.NoRoom:
+		return account.KeepFull
+	case keep.Fresh:
+		return account.ComeAgain
+	}
+	return account.Unprotected
+}
+
+// note has a req that the module wants run wait for its intent.
+func (k *keeper) note(r *req) {
+	r.at = noting
+	if o := k.store.Arrive(k.now(), r.guard.made, r.guard.key, r.id); o.Verdict != keep.Wait {
+		k.outcome(o)
+	}
+}
+
+// join has a repeat meet its forerunner.
+func (k *keeper) join(r *req) {
+	if k.store.Look(k.now(), r.guard.made, r.guard.key) != keep.Known { // proved never to have run since the module was told
+		k.outcome(keep.Outcome{ID: r.id, Verdict: keep.Fresh})
+		return
+	}
+	r.at = joined
+	if o := k.store.Arrive(k.now(), r.guard.made, r.guard.key, r.id); o.Verdict != keep.Wait {
+		k.outcome(o)
+	}
+}
+
+// leave follows a req that no longer waits and never ran.
+func (k *keeper) leave(r *req) {
+	if r.guard != nil && k.store != nil && r.at >= joined {
+		k.store.Withdraw(k.now(), r.guard.key, r.id)
+	}
+}
+
+func (k *keeper) heed(all []keep.Outcome) {
+	for _, o := range all {
+		k.outcome(o)
+	}
+}
+
+// outcome carries out what the store says of a req.
+func (k *keeper) outcome(o keep.Outcome) {
+	b := k.b
+	r := b.reqs[o.ID]
+	if r == nil || r.guard == nil {
+		invariant.Check(o.Verdict != keep.Begin, "what is to be begun is there")
+		return
+	}
+	switch o.Verdict {
+	case keep.Begin:
+		if !b.owes(r) || r.at != noting { // nobody waits and it never ran, or the module has it joined
+			why := account.NeverRan
+			if r.at == joined {
+				why = account.ComeAgain
+			}
+			r.guard.kept = true
+			others := k.store.Ended(k.now(), r.guard.key, keep.Never, nil)
+			b.ended(r, overload.Moot, why, 0, nil)
+			k.heed(others)
+			return
+		}
+		b.begin(r)
+	case keep.Done:
+		b.ended(r, r.guard.how, r.guard.why, r.guard.took, o.Result)
+	case keep.Repeat:
+		r.guard.kept = true
+		b.ended(r, overload.OK, k.reason(o.Verdict), 0, o.Result)
+	default:
+		r.guard.kept = true
+		how := overload.Errored
+		why := k.reason(o.Verdict)
+		if why.Figure() == account.Refused {
+			how = overload.Moot
+		}
+		b.ended(r, how, why, 0, nil)
+	}
+}
+
+// writes follows the end of a guarded req, and tells whether its answer has to wait for the disk.
+func (k *keeper) writes(r *req, how overload.Outcome, why account.Reason, took time.Duration, body []byte) bool {
+	g := r.guard
+	if g.kept || r.at < noting { // joined ones and held ones have no run of their own
+		if r.at == joined && !g.kept {
+			k.leave(r)
+		}
+		return false
+	}
+	g.kept = true
+	if r.at == noting {
+		k.store.Withdraw(k.now(), g.key, r.id)
+		return false
+	}
+	g.how, g.why, g.took = how, why, took
+	kind := keep.Failed
+	switch how {
+	case overload.OK:
+		kind = keep.Result
+		r.at = writing
+		k.b.tier.cancel(r)
+		if r.probeAt > 0 {
+			k.b.link.probes--
+			r.probe, r.probeAt = 0, 0
+		}
+	case overload.Moot:
+		kind = keep.Never
+	}
+	k.heed(k.store.Ended(k.now(), g.key, kind, body))
+	return kind == keep.Result
+}
+
+// hand gives the log what the store wrote in this turn.
+func (k *keeper) hand() {
+	if k.log != nil {
+		k.log.Append(k.store.Writes())
+	}
+}
+
+func (k *keeper) tidy() {
+	if k.store != nil {
+		k.store.Tidy(k.now())
+	}
+}
+
+// close has the log end: all answers have left, what waits is records of failures and ages.
+func (k *keeper) close() {
+	if !k.on() {
+		return
+	}
+	close(k.closing)
+	if k.log != nil {
+		k.hand()
+		if err := k.log.Close(patientEnd); err != nil {
+			k.b.log.Error("keep", "dir", k.b.cfg.Keep.Dir, "why", err)
+			return // the lock goes with the process
+		}
+	} else {
+		select {
+		case <-k.gone:
+		case <-time.After(patientEnd):
+			return
+		}
+	}
+	if k.lock != nil {
+		_ = k.lock.Close()
+	}
+}
+
+// KeepStats gives those of the store, while Serve runs and after it; nil without one.
+func (b *Backend) KeepStats() *KeepStats {
+	if !b.keeper.on() {
+		return nil
+	}
+	var out KeepStats
+	b.ask(func() {
+		k := &b.keeper
+		out = k.stats
+		out.Reading, out.Broken = k.store == nil && !k.broken, k.broken
+		if k.store != nil {
+			out.Store = k.store.Stats()
+		}
+		if k.log != nil {
+			out.Log = k.log.Stats()
+		}
+	})
+	return &out
+}
+
+// String is the part's word in the operator's file.
+func (p Part) String() string {
+	return [...]string{PartID: "id", PartCustomer: "customer", PartField: "field", PartBody: "body"}[p]
+}
--- a/backend/req.go
+++ b/backend/req.go
@@ -16,6 +16,8 @@
 	strange place = iota // the processor is asked whether it knows it; the module has not heard of it
 	held
 	joined  // waits for the result of another
+	noting  // guarded, to be begun: waits until that is on the disk, or for another with its key
+	writing // guarded, and ended: waits until its result is
 	running // begun, or to be begun once the link stands
 	asking  // its run waits for a call that is not made
 	calling // and for one that is
@@ -50,6 +52,8 @@
 	since   time.Duration  // and when that was
 	unknown uint64         // the question for gauges whose answer proves that it is known if it is not rejected
 
+	guard *guarded // nil where it may run twice
+
 	of    subject
 	fore  uint64 // the remembered req that it repeats
 	joins []*req // those that wait for its result
@@ -86,13 +90,18 @@
 		if !invariant.Check(r.at == held && b.owes(r), "what is run is held") {
 			return
 		}
-		r.at = running
-		b.count.Begun++
-		b.link.begin(r)
+		if r.guard != nil {
+			b.keeper.note(r)
+			return
+		}
+		b.begin(r)
 	case overload.Stop:
-		if r.at >= running {
+		switch {
+		case r.at >= running:
 			b.count.Stopped++
 			b.link.interrupt(r)
+		case r.at == noting:
+			b.ended(r, overload.Moot, account.NeverRan, 0, nil)
 		}
 	case overload.Shed:
 		if invariant.Check(r.at == held, "what is shed never ran") {
@@ -115,7 +124,11 @@
 	case overload.Remember:
 		b.keys.remember(r, a.For)
 	case overload.Join:
-		if invariant.Check(r.at == held && b.owes(r) && r.fore != 0, "what joins is a held repeat") {
+		switch {
+		case !invariant.Check(r.at == held && b.owes(r) && r.fore != 0, "what joins is a held repeat"):
+		case r.guard != nil:
+			b.keeper.join(r)
+		default:
 			b.keys.join(r)
 		}
 	case overload.Call:
@@ -131,13 +144,24 @@
 func (b *Backend) arrived(r *req) {
 	r.at = held
 	r.ev.Unread += b.now - r.since
-	if r.ev.Subject != "" {
+	if r.guard != nil {
+		if !b.keeper.admit(r) {
+			return
+		}
+	} else if r.ev.Subject != "" {
 		r.fore = b.keys.repeatOf(r.of)
 		r.ev.RepeatOf = r.fore
 	}
 	b.events = append(b.events, r.ev)
 }
 
+// begin has the processor run a req.
+func (b *Backend) begin(r *req) {
+	r.at = running
+	b.count.Begun++
+	b.link.begin(r)
+}
+
 // answered follows the final answer of a req.
 func (b *Backend) answered(r *req) {
 	b.owed--
@@ -165,6 +189,7 @@
 	switch r.at {
 	case strange, held, joined:
 		delete(b.reqs, r.id)
+		b.keeper.leave(r)
 		b.keys.ended(r, overload.Errored, nil)
 	case asking, calling:
 		b.endRun(r)
@@ -178,17 +203,23 @@
 
 // ended follows the end of a run, why says how it is accounted for; body is the result.
 func (b *Backend) ended(r *req, how overload.Outcome, why account.Reason, took time.Duration, body []byte) {
-	if r.at != joined && r.at != held {
+	if r.at >= running {
 		b.count.Ended++
 	}
+	if r.guard != nil && b.keeper.writes(r, how, why, took, body) {
+		return // again once its result is on the disk
+	}
 	b.tier.cancel(r)
 	if r.probeAt > 0 {
 		b.link.probes--
 	}
 	if b.owes(r) {
-		if how == overload.OK {
+		switch {
+		case how == overload.OK:
 			b.door.done(r, why, body)
-		} else {
+		case why.Figure() == account.Refused:
+			b.door.refused(r, why, b.keeper.after)
+		default:
 			b.door.errored(r, why)
 		}
 		b.owed--
--- a/backend/stand_test.go
+++ b/backend/stand_test.go
@@ -9,15 +9,18 @@
 	"io"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"frosthub/internal/ajp"
+	"frosthub/internal/keeplog"
 	"frosthub/internal/stand"
 )
 
@@ -45,6 +48,9 @@
 	ajp       bool            // edge nodes speak AJP
 	jp        string          // and connect there
 	known     map[string]bool // ids that were begun; false: the processor knows no such req
+	disk      *stand.Disk     // of what is kept
+	hold      *sync.Mutex     // held while the disk stands still
+	lives     atomic.Int32
 }
 
 func (s *stage) print(party, format string, args ...any) {
@@ -54,6 +60,16 @@
 	s.last = time.Now()
 }
 
+// printer prints for a party until the present backend dies.
+func (s *stage) printer(party string) func(format string, args ...any) {
+	life := s.lives.Load()
+	return func(format string, args ...any) {
+		if life == s.lives.Load() {
+			s.print(party, format, args...)
+		}
+	}
+}
+
 // know tells whether an id was begun, and whether it is to be rejected.
 func (s *stage) know(id string, begins bool) (begun, strange bool) {
 	s.mu.Lock()
@@ -340,11 +356,12 @@
 // readEdge prints each answer, its fields in order, and the end of the connection.
 func (s *stage) readEdge(name string, c net.Conn) {
 	out := map[uint16]string{}
+	print := s.printer("edge " + name)
 	r := bufio.NewReader(c)
 	for {
 		head := make([]byte, 8)
 		if _, err := io.ReadFull(r, head); err != nil {
-			s.print("edge "+name, "connection closed")
+			print("connection closed")
 			return
 		}
 		slot, content := binary.BigEndian.Uint16(head[2:]), make([]byte, binary.BigEndian.Uint16(head[4:]))
@@ -361,9 +378,9 @@
 					words[i] = k
 				}
 			}
-			s.print("edge "+name, "%d ends with %d, %s, %s", slot, content[4], strings.Join(words, ", "), quoted(body))
+			print("%d ends with %d, %s, %s", slot, content[4], strings.Join(words, ", "), quoted(body))
 		default:
-			s.print("edge "+name, "record %d: %s", head[1], hex.EncodeToString(content))
+			print("record %d: %s", head[1], hex.EncodeToString(content))
 		}
 	}
 }
@@ -387,6 +404,7 @@
 	}
 	s.control = control
 	s.t.Cleanup(func() { _ = control.Close() })
+	print := s.printer(word + "control")
 	go func() {
 		buf, said := make([]byte, 100), ""
 		for {
@@ -396,12 +414,42 @@
 			}
 			if text := string(buf[:n]); text != said {
 				said = text
-				s.print(word+"control", "%s", text)
+				print("%s", text)
 			}
 		}
 	}()
 }
 
+// newDisk has the next backend keep its store there.
+func (s *stage) newDisk(d *stand.Disk) {
+	hold := &sync.Mutex{}
+	s.disk, s.hold = d, hold
+	d.Slow = func(string, int) {
+		hold.Lock() // while it stands still
+		defer hold.Unlock()
+	}
+}
+
+// dies has the backend be gone with all that was not on its disk, and another come up where it was.
+func (s *stage) dies() {
+	s.lives.Add(1)
+	s.disk.Off()
+	after := s.disk.After(rand.New(rand.NewPCG(1, 1)))
+	s.leave()
+	for _, p := range s.peers {
+		p.shut()
+	}
+	for _, e := range s.edges {
+		_ = e.c.Close()
+	}
+	s.mu.Lock()
+	s.lines, s.n = nil, 0
+	s.edges = map[string]*edgeNode{}
+	s.mu.Unlock()
+	s.newDisk(after)
+	s.start(s.options)
+}
+
 // text is the configuration of the present stand-ins.
 func (s *stage) text() []byte {
 	option := func(k, missing string) string {
@@ -429,6 +477,12 @@
 // start has the backend come up; options are stop_ms, sockets and "last" for the last tier.
 func (s *stage) start(options map[string]string) {
 	s.options = options
+	if options["keep"] != "" && s.disk == nil {
+		s.newDisk(stand.NewDisk())
+		if err := keeplog.Init(s.disk, "n3", time.Duration(time.Now().UnixNano()), 1); err != nil {
+			s.t.Fatal(err)
+		}
+	}
 	s.newPeers("")
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -437,6 +491,9 @@
 	s.listen = free.Addr().String()
 	_ = free.Close()
 	cfg := s.config()
+	if s.disk != nil {
+		cfg.Keep = Keep{Dir: s.t.TempDir(), Handlers: map[string][]Part{"file-claim": {PartBody}}, Gather: time.Microsecond, Disk: s.disk}
+	}
 	if s.ajp = s.ajp || options["ajp"] != ""; s.ajp {
 		cfg.AJP.Secret = options["secret"]
 		free, err := net.Listen("tcp", "127.0.0.1:0")
@@ -450,7 +507,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.leave = cancel
 	s.b = New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	go func() { s.print("backend", "ended: %v", s.b.Serve(ctx)) }()
+	b, print := s.b, s.printer("backend")
+	go func() { print("ended: %v", b.Serve(ctx)) }()
 	s.t.Cleanup(func() {
 		cancel()
 		for _, p := range s.peers {
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -62,6 +62,17 @@
 		time.Sleep(d)
 	case "leave":
 		s.leave()
+	case "dies":
+		s.dies()
+	case "disk":
+		switch w[1] {
+		case "holds":
+			s.hold.Lock()
+		case "goes":
+			s.hold.Unlock()
+		case "fails":
+			s.disk.Off()
+		}
 	case "moves": // all that the backend talks to is elsewhere from now on
 		s.newPeers("new ")
 		s.b.Reload(s.config())
--- /dev/null
+++ b/cmd/frosthub/keep_test.go
@@ -0,0 +1,403 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"frosthub/backend"
+	"frosthub/internal/keeplog"
+	"frosthub/internal/stand"
+	"frosthub/keep"
+)
+
+var keepKills = flag.Int("keepkills", 30, "how often boxes that keep results are killed under repeats; 500 outside CI")
+
+var keepPairs = flag.Int("keeppairs", 0, "measure the cost of keeping results in so many rounds")
+
+const keeps = "ajp listen FRONT\nfigures file FIGURES\nfigures trail 65536\nkeep dir KEEP\nkeep handler file-claim by body\n"
+
+// newKeepRig prepares a box with an empty store.
+func newKeepRig(t *testing.T, cores float64, work func(uint64, string) time.Duration, lines string) (x *rig, dir string) {
+	t.Helper()
+	x = newRig(t, cores, work, lines)
+	dir = filepath.Join(x.box.Dir, "keep")
+	x.box.Conf = strings.ReplaceAll(x.box.Conf, "KEEP", dir)
+	if out, err := exec.Command(binary, "keep", "init", "--box", "n1", dir).CombinedOutput(); err != nil {
+		t.Fatal(string(out))
+	}
+	return x, dir
+}
+
+// TestKeptOverKills has boxes killed and drained under claims that are repeated over both fronts, under new ids: none runs twice, and
+// who repeats a served one gets the first answer.
+func TestKeptOverKills(t *testing.T) {
+	const boxes = 3
+	for i := range boxes {
+		t.Run(fmt.Sprint("box ", i), func(t *testing.T) {
+			t.Parallel()
+			keptOverKills(t, (*keepKills+boxes-1-i)/boxes, uint64(i))
+		})
+	}
+}
+
+func keptOverKills(t *testing.T, kills int, seed uint64) {
+	x, dir := newKeepRig(t, 2, everyReq(4*time.Millisecond), keeps)
+	r := rand.New(rand.NewPCG(seed, 11))
+	load := &stand.Claims{Handler: "file-claim", Callers: 12, Repeats: 3, Late: 0.4, Pause: 3 * time.Millisecond, Patient: 2 * time.Second, CostMS: 4}
+	fc, jp := stand.NewFastCGI(x.box.Listen), stand.NewAJP(x.front)
+	defer fc.Close()
+	defer jp.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	x.start()
+	go func() {
+		defer close(done)
+		load.Run(ctx, seed, func(n uint64) stand.Asker {
+			if n>>32%2 == 0 {
+				return fc
+			}
+			return jp
+		})
+	}()
+	drains := 0
+	for range kills {
+		time.Sleep(time.Duration(30+r.IntN(200)) * time.Millisecond)
+		var err error
+		if r.IntN(6) == 0 {
+			drains++
+			err = x.box.Drain()
+		} else {
+			err = x.box.Kill()
+		}
+		if err != nil {
+			t.Fatal(err, x.box.Log())
+		}
+		x.start()
+	}
+	time.Sleep(300 * time.Millisecond)
+	stop()
+	<-done
+	if err := x.box.Drain(); err != nil {
+		t.Fatal(err)
+	}
+	sums, wrong := load.Judge(x.p.Effects())
+	for _, w := range wrong {
+		t.Error(w)
+	}
+	t.Logf("%d kills, %d of them drains: %+v", kills, drains, sums)
+	if sums.Served < 20*kills || sums.Answers < 2*sums.Served || sums.Cut == 0 {
+		t.Error("too little was asked to tell anything")
+	}
+	out, err := exec.Command(binary, "keep", "check", "--conf", filepath.Join(x.box.Dir, "frosthub.conf"), dir).CombinedOutput()
+	if err != nil || !strings.Contains(string(out), fmt.Sprintf("%d lives", kills+1)) {
+		t.Error(string(out), err)
+	}
+	if out, err := exec.Command(binary, "figures", x.path).CombinedOutput(); err != nil {
+		t.Error(string(out), err)
+	}
+}
+
+// inProcess has a backend in this process keep its store on a stand-in disk.
+func inProcess(t *testing.T, p *stand.Processor, disk *stand.Disk, by backend.Part) (b *backend.Backend, address string) {
+	t.Helper()
+	address, err := stand.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	box := stand.Box{Listen: address, Processor: p.Address(), StopMS: 1000}
+	text, err := box.Config()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := backend.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if disk != nil {
+		if err := keeplog.Init(disk, cfg.Name, time.Duration(time.Now().UnixNano()), 1); err != nil {
+			t.Fatal(err)
+		}
+		cfg.Keep = backend.Keep{Dir: t.TempDir(), Handlers: map[string][]backend.Part{"file-claim": {by}}, Disk: disk}
+	}
+	b = backend.New(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := b.Serve(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { stop(); <-ended })
+	ready(t, address)
+	return b, address
+}
+
+// ready waits until a box at that address runs reqs.
+func ready(t *testing.T, address string) {
+	t.Helper()
+	a := stand.NewFastCGI(address)
+	defer a.Close()
+	for i := range uint64(2000) {
+		req := stand.Req{ID: 1<<60 + i, Handler: "file-claim", Start: time.Now().UnixMilli(), Body: fmt.Sprint("ready", i), CostMS: 1}
+		if a.Ask(&req, time.Second) == stand.Served {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("it does not serve")
+}
+
+// TestKeepStall: a disk that stands still for two seconds at 110% of capacity costs service, and no rule: each req gets its one answer
+// in its time, nothing runs twice, and replayable ones go on.
+func TestKeepStall(t *testing.T) {
+	p, err := stand.NewProcessor(2, everyReq(8*time.Millisecond))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	disk := stand.NewDisk()
+	var stall sync.Once
+	var mu sync.Mutex
+	var from time.Time
+	disk.Slow = func(what string, n int) {
+		if n > 200 && what == "fsync" {
+			stall.Do(func() {
+				mu.Lock()
+				from = time.Now()
+				mu.Unlock()
+				time.Sleep(2 * time.Second)
+			})
+		}
+	}
+	_, address := inProcess(t, p, disk, backend.PartID)
+	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+	defer stop()
+	a := stand.NewFastCGI(address)
+	defer a.Close()
+	tally := stand.NewTally()
+	stream := stand.Stream{Rate: 1.1 * 250, Handlers: []string{"status", "file-claim"}, CostMS: 8, Target: time.Second,
+		Patient: 3100 * time.Millisecond, Value: map[string]float64{"status": 1, "file-claim": 3}}
+	var during, claims int
+	share := stream.Run(ctx, 1, tally, func(id uint64) stand.Asker { return a })
+	mu.Lock()
+	defer mu.Unlock()
+	if from.IsZero() {
+		t.Fatal("the disk never stood still")
+	}
+	for id, h := range p.Handlers() {
+		if p.Runs()[id] > 1 {
+			t.Errorf("%016x ran twice", id)
+		}
+		if h == "status" {
+			during++
+		} else {
+			claims++
+		}
+	}
+	t.Logf("service %.3f; served %d, refused %d, failed %d; begun %d replayable and %d guarded", share, tally.Count(stand.Served),
+		tally.Count(stand.Refused), tally.Count(stand.Failed), during, claims)
+	for _, bad := range []stand.Outcome{stand.Sent, stand.NotSent, stand.Wrong} {
+		if n := tally.Count(bad); n > 0 {
+			t.Errorf("%d reqs: %s", n, bad)
+		}
+	}
+	if during < 200 || claims < 50 {
+		t.Error("too little was run")
+	}
+}
+
+// TestKeepFlat: over ten times the bound of keys, memory, keys and disk stay within their bounds.
+func TestKeepFlat(t *testing.T) {
+	x, dir := newKeepRig(t, 8, everyReq(100*time.Microsecond), keeps+"keep entries 400\nkeep bytes 20000\nkeep lifetime 1s\nkeep horizon 2s\nkeep gather 50us\n")
+	x.start()
+	ready(t, x.box.Listen)
+	load := &stand.Claims{Handler: "file-claim", Callers: 24, Keys: 180, Pause: 20 * time.Millisecond, Patient: 3 * time.Second, CostMS: 0.1, Padding: 100}
+	a := stand.NewFastCGI(x.box.Listen)
+	defer a.Close()
+	load.Run(t.Context(), 1, func(uint64) stand.Asker { return a })
+	sums, wrong := load.Judge(x.p.Effects())
+	for _, w := range wrong {
+		t.Error(w)
+	}
+	if err := x.box.Drain(); err != nil {
+		t.Fatal(err)
+	}
+	var size int64
+	d := keeplog.Folder(dir)
+	names, err := d.Names()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range names {
+		b, _ := d.Read(n)
+		size += int64(len(b))
+	}
+	t.Logf("%+v; %d files, %d bytes on the disk, %d KB of memory", sums, len(names), size, x.box.Memory())
+	if sums.Served < 10*400 || size > 400_000 || len(names) > 70 {
+		t.Error("too little was kept, or too much is still there")
+	}
+}
+
+// TestKeepCost measures what keeping costs: time on cores a req, latency, commits a req; off, on, and with a disk that takes 5 ms.
+func TestKeepCost(t *testing.T) {
+	if *keepPairs == 0 {
+		t.Skip("asked for by -keeppairs")
+	}
+	type figure struct {
+		cpu, rate, commits float64
+		p50, p99           time.Duration
+	}
+	load := func(address string) (*stand.Claims, *hdrhistogram.Histogram) {
+		h := hdrhistogram.New(1, 10_000_000, 3)
+		var mu sync.Mutex
+		l := &stand.Claims{Handler: "file-claim", Callers: 32, Patient: 3 * time.Second, CostMS: 1, Took: func(d time.Duration) {
+			mu.Lock()
+			defer mu.Unlock()
+			_ = h.RecordValue(d.Microseconds())
+		}}
+		ctx, stop := context.WithTimeout(t.Context(), 3*time.Second)
+		defer stop()
+		a := stand.NewFastCGI(address)
+		defer a.Close()
+		l.Run(ctx, 1, func(uint64) stand.Asker { return a })
+		return l, h
+	}
+	measure := func(conf string) (f figure) {
+		x, _ := newKeepRig(t, 8, everyReq(time.Millisecond), conf+"admin listen ADMIN\n")
+		admin, err := stand.FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.box.Conf = strings.ReplaceAll(x.box.Conf, "ADMIN", admin)
+		x.start()
+		ready(t, x.box.Listen)
+		before, err := x.box.CPU()
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, h := load(x.box.Listen)
+		after, err := x.box.CPU()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, _ := l.Judge(x.p.Effects())
+		var k backend.KeepStats
+		if r, err := http.Get("http://" + admin + "/keep"); err == nil {
+			_ = json.NewDecoder(r.Body).Decode(&k)
+			_ = r.Body.Close()
+		}
+		x.end()
+		n := float64(s.Served)
+		return figure{float64((after - before).Microseconds()) / n, n / 3, float64(k.Log.Commits) / n,
+			time.Duration(h.ValueAtQuantile(50)) * time.Microsecond, time.Duration(h.ValueAtQuantile(99)) * time.Microsecond}
+	}
+	slow := func() (f figure) {
+		p, err := stand.NewProcessor(8, everyReq(time.Millisecond))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer p.Close()
+		disk := stand.NewDisk()
+		disk.Slow = func(what string, _ int) {
+			if what == "fsync" {
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+		b, address := inProcess(t, p, disk, backend.PartBody)
+		l, h := load(address)
+		s, _ := l.Judge(p.Effects())
+		n := float64(s.Served)
+		return figure{0, n / 3, float64(b.KeepStats().Log.Commits) / n, time.Duration(h.ValueAtQuantile(50)) * time.Microsecond,
+			time.Duration(h.ValueAtQuantile(99)) * time.Microsecond}
+	}
+	var ratios []float64
+	for range *keepPairs {
+		off, on, at5 := measure(""), measure("keep dir KEEP\nkeep handler file-claim by body\n"), slow()
+		t.Logf("off %+v\non  %+v\n5ms %+v\ncpu %.3f", off, on, at5, on.cpu/off.cpu)
+		ratios = append(ratios, on.cpu/off.cpu)
+	}
+	slices.Sort(ratios)
+	t.Logf("cpu ratios %.3f, median %.3f", ratios, ratios[len(ratios)/2])
+}
+
+var keepKeys = flag.Int("keepkeys", 20000, "keys in the store of a start; 1000000 outside CI")
+
+// TestKeepScale: a start with many kept keys serves replayable reqs at once, refuses guarded ones until the keys are read, and then
+// knows each.
+func TestKeepScale(t *testing.T) {
+	x, dir := newKeepRig(t, 2, everyReq(time.Millisecond), keeps+fmt.Sprintf("keep entries %d\nkeep bytes %d\n", *keepKeys+1000, *keepKeys*100+1<<20))
+	bounds := keep.Config{Entries: *keepKeys + 1000, Bytes: *keepKeys*100 + 1<<20, ResultMost: 1 << 16, Lifetime: time.Hour,
+		Horizon: 24 * time.Hour, Segments: 64, Prints: *keepKeys/8 + 16, SegmentBytes: 64 << 20}
+	s, disk := keep.New(bounds), keeplog.Folder(dir)
+	found, err := keeplog.Read(disk, "n1", s, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Duration(time.Now().UnixNano())
+	s.Restarted(now, true, 0)
+	w := keeplog.NewWriter(disk, &found)
+	for i := range *keepKeys {
+		key := keep.Key{0: 1, 8: byte(i >> 16), 9: byte(i >> 8), 10: byte(i)}
+		s.Arrive(now, 0, key, uint64(i+1))
+		s.Ended(now, key, keep.Result, []byte("a result of some bytes"))
+		if i%1000 == 0 || i == *keepKeys-1 {
+			writes := s.Writes()
+			if err := w.Commit(writes); err != nil {
+				t.Fatal(err)
+			}
+			s.Durable(1 << 60)
+		}
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	x.start()
+	defer x.end()
+	began := time.Now()
+	a := stand.NewFastCGI(x.box.Listen)
+	defer a.Close()
+	first, refused := map[string]time.Duration{}, 0
+	for n := uint64(1); len(first) < 2; n++ {
+		if time.Since(began) > time.Minute {
+			t.Fatal("not served: ", first, x.box.Log())
+		}
+		for i, handler := range []string{"status", "file-claim"} {
+			if first[handler] > 0 {
+				continue
+			}
+			req := stand.Req{ID: n<<8 + uint64(i) + 1, Handler: handler, Start: time.Now().UnixMilli(), Body: "new", CostMS: 1}
+			switch a.Ask(&req, time.Second) {
+			case stand.Served:
+				first[handler] = time.Since(began)
+			case stand.Refused:
+				if first["status"] > 0 {
+					refused++
+				}
+			}
+		}
+	}
+	t.Logf("%d keys: replayable served after %s, guarded after %s; %d guarded refused in between", *keepKeys, first["status"], first["file-claim"],
+		refused)
+	if !strings.Contains(x.box.Log(), fmt.Sprintf("keys=%d ", *keepKeys)) {
+		t.Error(x.box.Log())
+	}
+	if first["status"] > time.Second {
+		t.Error("replayable reqs had to wait")
+	}
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"frosthub/account"
+	"frosthub/backend"
 )
 
 const (
@@ -23,12 +24,14 @@
 	atOnce    = 2 // questions answered at a time: each has the owner copy its figures
 	pathQuery = "/metrics"
 	pathJSON  = "/figures"
+	pathKeep  = "/keep"
 )
 
 // Source has the figures.
 type Source interface {
 	Figures() account.Report
 	FiguresRecorded() bool
+	KeepStats() *backend.KeepStats // nil where nothing is kept
 }
 
 // collector makes Prometheus' metrics of a source's figures.
@@ -42,11 +45,18 @@
 	customer = prometheus.NewDesc("frosthub_customer_reqs_total", "Reqs by customer and figure.", []string{"customer", "figure"}, nil)
 	differs  = prometheus.NewDesc("frosthub_figures_differences_total", "Figures found that do not add up.", nil, nil)
 	recorded = prometheus.NewDesc("frosthub_figures_recorded", "1 while the figures are recorded or need not be.", nil, nil)
+	keptKeys = prometheus.NewDesc("frosthub_keep_keys", "Keys kept of what must not run twice, by state.", []string{"state"}, nil)
+	keptSize = prometheus.NewDesc("frosthub_keep_result_bytes", "Bytes of results kept.", nil, nil)
+	keptGood = prometheus.NewDesc("frosthub_keep_protects", "1 while guarded reqs can be protected.", nil, nil)
+	keptMet  = prometheus.NewDesc("frosthub_keep_verdicts_total", "Reqs that met what is kept, by verdict.", []string{"verdict"}, nil)
+	keptDisk = prometheus.NewDesc("frosthub_keep_commits_total", "Commits that the disk confirmed.", nil, nil)
+	keptLog  = prometheus.NewDesc("frosthub_keep_records_total", "Records in them.", nil, nil)
 	life     = prometheus.NewDesc("frosthub_figures_life", "Number of the present life.", nil, nil)
 )
 
 func (c collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{taken, closed, open, customer, differs, recorded, life} {
+	for _, d := range []*prometheus.Desc{taken, closed, open, customer, differs, recorded, life, keptKeys, keptSize, keptGood,
+		keptMet, keptDisk, keptLog} {
 		out <- d
 	}
 }
@@ -81,6 +91,25 @@
 	if n := len(r.Lives); n > 0 {
 		gauge(life, float64(r.Lives[n-1].Number))
 	}
+	k := c.of.KeepStats()
+	if k == nil {
+		return
+	}
+	gauge(keptKeys, float64(k.Store.Keys-k.Store.InDoubt-k.Store.InHand), "ended")
+	gauge(keptKeys, float64(k.Store.InDoubt), "in-doubt")
+	gauge(keptKeys, float64(k.Store.InHand), "in-hand")
+	gauge(keptKeys, float64(k.Store.Prints), "print")
+	gauge(keptSize, float64(k.Store.Bytes))
+	protects := 1.0
+	if k.Reading || k.Broken {
+		protects = 0
+	}
+	gauge(keptGood, protects)
+	for word, n := range map[string]int64{"repeated": k.Repeated, "in-doubt": k.InDoubt, "aged": k.Aged, "blind": k.Blind, "refused": k.Refused} {
+		count(keptMet, n, word)
+	}
+	count(keptDisk, k.Log.Commits)
+	count(keptLog, k.Log.Records)
 }
 
 // Serve answers at the address until the returned function is called, and says where it listens. Trouble after the start is logged.
@@ -94,17 +123,21 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+pathQuery, promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: atOnce}))
 	places := make(chan struct{}, atOnce)
-	mux.HandleFunc("GET "+pathJSON, func(w http.ResponseWriter, _ *http.Request) {
-		select {
-		case places <- struct{}{}:
-			defer func() { <-places }()
-		default:
-			http.Error(w, "two others are being answered", http.StatusServiceUnavailable)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(of.Figures())
-	})
+	asJSON := func(path string, what func() any) {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+			select {
+			case places <- struct{}{}:
+				defer func() { <-places }()
+			default:
+				http.Error(w, "two others are being answered", http.StatusServiceUnavailable)
+				return
+			}
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(what())
+		})
+	}
+	asJSON(pathJSON, func() any { return of.Figures() })
+	asJSON(pathKeep, func() any { return of.KeepStats() })
 	s := &http.Server{Handler: mux, ReadTimeout: readFor, WriteTimeout: writeFor, IdleTimeout: idleFor, MaxHeaderBytes: headMost,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	log.Info("admin", "listen", ln.Addr().String())
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -47,7 +47,7 @@
 	}
 	c.PersistentFlags().StringVar(&conf, "conf", os.Getenv(confName), "the operator's file")
 	c.AddCommand(&cobra.Command{Use: "serve", Short: "Serve as one backend until SIGTERM", Args: cobra.NoArgs, RunE: serve},
-		checkCommand(), figuresCommand())
+		checkCommand(), figuresCommand(), keepCommand(&conf))
 	return c
 }
 
@@ -59,7 +59,7 @@
 				return err
 			}
 		}
-		c.Figures, c.AJP, c.NextAJP = op.Figures, op.AJP, op.NextAJP
+		c.Figures, c.AJP, c.NextAJP, c.Keep = op.Figures, op.AJP, op.NextAJP, op.Keep
 		return nil
 	}
 	return backend.Main(set, func(b *backend.Backend) (func(), error) {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"log/slog"
 	"net/http"
 	"os"
@@ -13,8 +14,11 @@
 	"github.com/google/go-cmp/cmp"
 
 	"frosthub/account"
+	"frosthub/backend"
 	"frosthub/internal/admin"
 	"frosthub/internal/figures"
+	"frosthub/internal/keeplog"
+	"frosthub/keep"
 )
 
 // run runs a command and gives its output with the folder's name taken out.
@@ -136,11 +140,82 @@
 	}
 }
 
+// TestKeep: a store is made, shown, and its lost records answered for.
+func TestKeep(t *testing.T) {
+	dir := t.TempDir()
+	store := filepath.Join(dir, "store")
+	if _, _, err := run(dir, "keep", "init", store); err == nil {
+		t.Error("made for no box")
+	}
+	out, _, err := run(dir, "keep", "init", "--box", "n1", store)
+	if out != "store: an empty store for box n1\n" || err != nil {
+		t.Error(out, err)
+	}
+	for _, args := range [][]string{{"keep", "init", "--box", "n1", store}, {"keep", "check", dir}, {"keep", "list", dir}, {"keep", "accept", dir}} {
+		if _, _, err := run(dir, args...); err == nil {
+			t.Error(args, "is taken")
+		}
+	}
+	disk := keeplog.Folder(store)
+	write := func(key byte, end keep.Kind) {
+		t.Helper()
+		s := keep.New(keep.Config{Entries: 10, Bytes: 100, ResultMost: 50, Lifetime: time.Hour, Horizon: time.Hour, Segments: 9, Prints: 9, SegmentBytes: 999})
+		found, err := keeplog.Read(disk, "n1", s, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Duration(time.Now().UnixNano())
+		s.Restarted(now, found.Fresh(), found.Last)
+		s.Arrive(now, 0, keep.Key{key}, 1)
+		if end > 0 {
+			s.Ended(now, keep.Key{key}, end, []byte("yes"))
+		}
+		w := keeplog.NewWriter(disk, &found)
+		if err := errors.Join(w.Commit(s.Writes()), w.Close()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(1, keep.Result)
+	write(2, 0)
+	write(3, keep.Failed)
+	out, errs, err := run(dir, "keep", "check", store)
+	if !strings.Contains(out, "store: box n1, no process uses it, 3 lives, 9 records in 1 segments since ") || errs != "" || err != nil ||
+		!strings.Contains(out, "store: 3 keys, 1 of them in doubt, 3 bytes of results, prints of 0 more\n") {
+		t.Error(out, errs, err)
+	}
+	out, _, err = run(dir, "keep", "list", "--in-doubt", store)
+	if !strings.HasSuffix(out, " 02000000000000000000000000000000 in doubt 0 bytes\n") || strings.Count(out, "\n") != 1 || err != nil {
+		t.Error(out, err)
+	}
+	if out, _, err = run(dir, "keep", "list", "--records", store); strings.Count(out, "\n") != 9 || err != nil {
+		t.Error(out, err)
+	}
+	name := filepath.Join(store, "0000000000000001.log")
+	data, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[100] ^= 1
+	if err := os.WriteFile(name, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, _, err = run(dir, "keep", "check", store); !strings.Contains(out, "DAMAGED") || !strings.Contains(out, "may be lost") || err == nil {
+		t.Error(out, err)
+	}
+	if out, _, err = run(dir, "keep", "accept", store); strings.Contains(out, "may be lost") || err != nil {
+		t.Error(out, err)
+	}
+	if out, _, err = run(dir, "keep", "compact", store); strings.Contains(out, "may be lost") || err != nil {
+		t.Error(out, err)
+	}
+}
+
 // source is a box that stands still.
 type source struct{ report account.Report }
 
-func (s source) Figures() account.Report { return s.report }
-func (s source) FiguresRecorded() bool   { return true }
+func (s source) Figures() account.Report       { return s.report }
+func (s source) FiguresRecorded() bool         { return true }
+func (s source) KeepStats() *backend.KeepStats { return nil }
 
 // TestAdmin: what is served adds up as Prometheus reads it.
 func TestAdmin(t *testing.T) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,6 +22,7 @@
 	Figures backend.Figures
 	AJP     backend.AJP
 	NextAJP backend.NextAJP
+	Keep    backend.Keep
 }
 
 // Error is what is wrong at a place of a file.
@@ -113,6 +114,11 @@
 		if at := seen[d.Name]; at != nil && d.Needs != "" && seen[d.Needs] == nil {
 			return Config{}, &Error{name, at.Pos.Line, at.Pos.Column, "\"" + d.Name + "\" says nothing alone", "also \"" + d.Needs + "\""}
 		}
+		if at := seen[d.Name]; at != nil && d.Check != nil {
+			if what, expected := d.Check(&c); what != "" {
+				return Config{}, &Error{name, at.Pos.Line, at.Pos.Column, "\"" + d.Name + "\" " + what, expected}
+			}
+		}
 	}
 	return c, nil
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"frosthub/backend"
+	"frosthub/keep"
 )
 
 // TestParse: what stands in a file is taken, and what is wrong is told with its place and what was expected.
@@ -21,27 +22,41 @@
 	if diff := cmp.Diff(want, got); diff != "" || err != nil {
 		t.Error(diff, err)
 	}
+	got, err = Parse("x.conf", "keep dir /k\nkeep handler file-claim by field+body\nkeep handler other by id\nkeep key-field X-Claim\n"+
+		"keep entries 1000\nkeep lifetime 2h\nkeep horizon 48h\n")
+	want = Config{Keep: backend.Keep{Dir: "/k", KeyField: "X-Claim", Handlers: map[string][]backend.Part{
+		"file-claim": {backend.PartField, backend.PartBody}, "other": {backend.PartID}},
+		Bounds: keep.Config{Entries: 1000, Lifetime: 2 * time.Hour, Horizon: 48 * time.Hour}}}
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Error(diff, err)
+	}
 	if got, err = Parse("x.conf", ""); err != nil || !cmp.Equal(got, Config{}) {
 		t.Error(got, err)
 	}
 	for text, want := range map[string]string{
-		"figures":                                         `x.conf:1:1: unknown directive "figures", expected one of: figures file, figures trail, figures periods, figures customers, figures customer-field`,
-		"\n\n  fig file /x":                               `x.conf:3:3: unknown directive "fig file", expected one of: admin listen, ajp listen, ajp secret file, ajp packet, next-tier ajp, next-tier secret file, route eject, route trial, route floor, route budget, figures file, figures trail, figures periods, figures customers, figures customer-field`,
-		"figures file":                                    `x.conf:1:13: "figures file" lacks its path, expected an absolute path on a disk of this machine`,
-		"figures file x":                                  `x.conf:1:14: path "x": no absolute path, expected an absolute path on a disk of this machine`,
-		"figures file /x /y":                              `x.conf:1:17: "/y" is too much for "figures file", expected the end of the line`,
-		"figures file /x\nfigures file /y":                `x.conf:2:1: "figures file" again, expected it once: it stands on line 1`,
-		"figures trail 1024":                              `x.conf:1:1: "figures trail" says nothing alone, expected also "figures file"`,
-		"figures file /x\nfigures trail 1000":             `x.conf:2:15: number "1000": no power of two, expected a number from 256 to 1048576, a power of two`,
-		"figures periods 60 each 1m":                      `x.conf:1:20: "each" where "every" belongs, expected "every"`,
-		"figures periods 60 every 1d":                     `x.conf:1:26: span "1d": no span, expected a span from 1s to 1h, as 1m`,
-		"figures periods 60 every 1ms":                    `x.conf:1:26: span "1ms": out of its range, expected a span from 1s to 1h, as 1m`,
-		"next-tier ajp a:1 weight=0":                      `x.conf:1:19: weight "0": out of its range, expected a number from 1 to 1000`,
-		"next-tier ajp a:1 heavy=1":                       `x.conf:1:19: "heavy=1" is too much for "next-tier ajp", expected the end of the line`,
-		"next-tier ajp a:1\nnext-tier ajp a:1":            `x.conf:2:15: address "a:1": it is there already, expected an address and a port, as 127.0.0.1:8009`,
-		"next-tier ajp a:1\nroute eject 3 for 5s to 1s":   `x.conf:2:25: span "1s": out of its range, expected a span, not under the first`,
-		"next-tier ajp a:1\nroute floor half":             `x.conf:2:13: share "half": no share in percent, expected a share from 1% to 100%`,
-		"route budget 10%":                                `x.conf:1:1: "route budget" says nothing alone, expected also "next-tier ajp"`,
+		"figures":                                       `x.conf:1:1: unknown directive "figures", expected one of: figures file, figures trail, figures periods, figures customers, figures customer-field`,
+		"\n\n  fig file /x":                             `x.conf:3:3: unknown directive "fig file", expected one of: admin listen, ajp listen, ajp secret file, ajp packet, next-tier ajp, next-tier secret file, route eject, route trial, route floor, route budget, keep dir, keep handler, keep key-field, keep made-field, keep entries, keep bytes, keep result, keep lifetime, keep horizon, keep gather, figures file, figures trail, figures periods, figures customers, figures customer-field`,
+		"figures file":                                  `x.conf:1:13: "figures file" lacks its path, expected an absolute path on a disk of this machine`,
+		"figures file x":                                `x.conf:1:14: path "x": no absolute path, expected an absolute path on a disk of this machine`,
+		"figures file /x /y":                            `x.conf:1:17: "/y" is too much for "figures file", expected the end of the line`,
+		"figures file /x\nfigures file /y":              `x.conf:2:1: "figures file" again, expected it once: it stands on line 1`,
+		"figures trail 1024":                            `x.conf:1:1: "figures trail" says nothing alone, expected also "figures file"`,
+		"figures file /x\nfigures trail 1000":           `x.conf:2:15: number "1000": no power of two, expected a number from 256 to 1048576, a power of two`,
+		"figures periods 60 each 1m":                    `x.conf:1:20: "each" where "every" belongs, expected "every"`,
+		"figures periods 60 every 1d":                   `x.conf:1:26: span "1d": no span, expected a span from 1s to 1h, as 1m`,
+		"figures periods 60 every 1ms":                  `x.conf:1:26: span "1ms": out of its range, expected a span from 1s to 1h, as 1m`,
+		"next-tier ajp a:1 weight=0":                    `x.conf:1:19: weight "0": out of its range, expected a number from 1 to 1000`,
+		"next-tier ajp a:1 heavy=1":                     `x.conf:1:19: "heavy=1" is too much for "next-tier ajp", expected the end of the line`,
+		"next-tier ajp a:1\nnext-tier ajp a:1":          `x.conf:2:15: address "a:1": it is there already, expected an address and a port, as 127.0.0.1:8009`,
+		"next-tier ajp a:1\nroute eject 3 for 5s to 1s": `x.conf:2:25: span "1s": out of its range, expected a span, not under the first`,
+		"next-tier ajp a:1\nroute floor half":           `x.conf:2:13: share "half": no share in percent, expected a share from 1% to 100%`,
+		"route budget 10%":                              `x.conf:1:1: "route budget" says nothing alone, expected also "next-tier ajp"`,
+		"keep dir /k":                                   `x.conf:1:1: "keep dir" says nothing alone, expected also "keep handler"`,
+		"keep handler a by id":                          `x.conf:1:1: "keep handler" says nothing alone, expected also "keep dir"`,
+		"keep dir /k\nkeep handler a by name":           `x.conf:2:19: parts "name": not understood, expected id, customer, field or body, joined by +, as customer+body`,
+		"keep dir /k\nkeep handler a by field":          `x.conf:2:1: "keep handler" a by field: no field is named, expected also "keep key-field"`,
+		"keep dir /k\nkeep handler a by customer":       `x.conf:2:1: "keep handler" a by customer: only edge nodes are told apart, expected also "figures customer-field"`,
+		"keep dir /k\nkeep handler a by id\nkeep lifetime 2h\nkeep horizon 1h": `x.conf:3:1: "keep lifetime" is past the horizon, expected a span not over that of "keep horizon"`,
 		"figures customers many":                          `x.conf:1:19: number "many": no whole number, expected a number from 1 to 1024`,
 		"figures customers 0":                             `x.conf:1:19: number "0": out of its range, expected a number from 1 to 1024`,
 		"admin listen 10.0.0.1:80":                        `x.conf:1:14: address "10.0.0.1:80": no loopback address, expected a loopback address and a port, as 127.0.0.1:9180`,
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -7,10 +7,12 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"frosthub/backend"
 	"frosthub/internal/figures"
 	"frosthub/route"
 )
@@ -19,9 +21,10 @@
 type Directive struct {
 	Name    string
 	Args    []Arg
-	Options []Arg  // that may follow, as name=value, for the last of its kind
-	Many    bool   // it may stand more than once
-	Needs   string // another directive without which it says nothing
+	Options []Arg                                   // that may follow, as name=value, for the last of its kind
+	Many    bool                                    // it may stand more than once
+	Needs   string                                  // another directive without which it says nothing
+	Check   func(c *Config) (what, expected string) // once all is read; what is wrong with it beside others
 	Help    string
 }
 
@@ -46,6 +49,8 @@
 	secretMost = 256
 	periodsTop = 10080
 	customers  = 1024
+	entriesTop = 100_000_000 // keys: some 20 GB
+	bytesTop   = 1 << 34
 )
 
 // Directives are all that there are.
@@ -141,6 +146,106 @@
 			c.NextAJP.Route.Budget, err = percent(v)
 			return err
 		}}}},
+	{Name: "keep dir", Help: "keep there what must not run twice, and its results; made by frosthub keep init",
+		Check: func(c *Config) (string, string) {
+			if len(c.Keep.Handlers) == 0 {
+				return "says nothing alone", "also \"keep handler\""
+			}
+			return "", ""
+		},
+		Args: []Arg{{Name: "path", Kind: "an absolute path on a disk of this machine", Set: func(c *Config, v string) error {
+			if !filepath.IsAbs(v) {
+				return errors.New("no absolute path")
+			}
+			c.Keep.Dir = filepath.Clean(v)
+			return nil
+		}}}},
+	{Name: "keep handler", Many: true, Needs: "keep dir", Help: "this handler's reqs must not run twice, and what tells them apart",
+		Check: func(c *Config) (string, string) {
+			for name, parts := range c.Keep.Handlers {
+				if slices.Contains(parts, backend.PartField) && c.Keep.KeyField == "" {
+					return name + " by field: no field is named", "also \"keep key-field\""
+				}
+				if slices.Contains(parts, backend.PartCustomer) && c.Figures.CustomerField == "" {
+					return name + " by customer: only edge nodes are told apart", "also \"figures customer-field\""
+				}
+			}
+			return "", ""
+		},
+		Args: []Arg{
+			{Name: "name", Kind: "a handler's name", Set: func(c *Config, v string) error {
+				if _, again := c.Keep.Handlers[v]; again {
+					return errors.New("it is there already")
+				}
+				if c.Keep.Handlers == nil {
+					c.Keep.Handlers = map[string][]backend.Part{}
+				}
+				c.Keep.Handlers[v] = nil // its parts follow
+				return nil
+			}},
+			{Name: "word", Word: "by"},
+			{Name: "parts", Kind: "id, customer, field or body, joined by +, as customer+body", Set: func(c *Config, v string) error {
+				name := ""
+				for other, parts := range c.Keep.Handlers {
+					if parts == nil {
+						name = other
+					}
+				}
+				for word := range strings.SplitSeq(v, "+") {
+					part := map[string]backend.Part{"id": backend.PartID, "customer": backend.PartCustomer, "field": backend.PartField,
+						"body": backend.PartBody}[word]
+					if part == 0 || slices.Contains(c.Keep.Handlers[name], part) {
+						return errors.New("not understood")
+					}
+					c.Keep.Handlers[name] = append(c.Keep.Handlers[name], part)
+				}
+				return nil
+			}}}},
+	{Name: "keep key-field", Needs: "keep handler", Help: "the header that names what must not run twice",
+		Args: []Arg{{Name: "header", Kind: "the name of a header, as X-Claim", Set: func(c *Config, v string) error {
+			c.Keep.KeyField = v
+			return headerName(v)
+		}}}},
+	{Name: "keep made-field", Needs: "keep handler", Help: "the header with the time at which a req was first made, in Unix milliseconds",
+		Args: []Arg{{Name: "header", Kind: "the name of a header, as X-First-Made", Set: func(c *Config, v string) error {
+			c.Keep.MadeField = v
+			return headerName(v)
+		}}}},
+	{Name: "keep entries", Needs: "keep dir", Help: "keys kept with their results at most",
+		Args: []Arg{{Name: "number", Kind: fmt.Sprintf("a number from 16 to %d", entriesTop), Set: func(c *Config, v string) (err error) {
+			c.Keep.Bounds.Entries, err = whole(v, 16, entriesTop)
+			return err
+		}}}},
+	{Name: "keep bytes", Needs: "keep dir", Help: "bytes of all results kept at most",
+		Args: []Arg{{Name: "number", Kind: fmt.Sprintf("a number from 1024 to %d", bytesTop), Set: func(c *Config, v string) (err error) {
+			c.Keep.Bounds.Bytes, err = whole(v, 1024, bytesTop)
+			return err
+		}}}},
+	{Name: "keep result", Needs: "keep dir", Help: "bytes of one result at most; longer ones are not kept",
+		Args: []Arg{{Name: "number", Kind: "a number from 16 to 16777216", Set: func(c *Config, v string) (err error) {
+			c.Keep.Bounds.ResultMost, err = whole(v, 16, 16<<20)
+			return err
+		}}}},
+	{Name: "keep lifetime", Needs: "keep dir", Help: "how long a result is kept", Check: func(c *Config) (string, string) {
+		if h := c.Keep.Bounds.Horizon; h > 0 && h < c.Keep.Bounds.Lifetime {
+			return "is past the horizon", "a span not over that of \"keep horizon\""
+		}
+		return "", ""
+	},
+		Args: []Arg{{Name: "span", Kind: "a span from 1s to 720h", Set: func(c *Config, v string) (err error) {
+			c.Keep.Bounds.Lifetime, err = span(v, time.Second, 720*time.Hour)
+			return err
+		}}}},
+	{Name: "keep horizon", Needs: "keep dir", Help: "how long after a req was first made it may still be repeated",
+		Args: []Arg{{Name: "span", Kind: "a span from 1s to 8760h", Set: func(c *Config, v string) (err error) {
+			c.Keep.Bounds.Horizon, err = span(v, time.Second, 8760*time.Hour)
+			return err
+		}}}},
+	{Name: "keep gather", Needs: "keep dir", Help: "how long a write waits for others that the disk can confirm with it",
+		Args: []Arg{{Name: "span", Kind: "a span from 1us to 100ms", Set: func(c *Config, v string) (err error) {
+			c.Keep.Gather, err = span(v, time.Microsecond, 100*time.Millisecond)
+			return err
+		}}}},
 	{Name: "figures file", Help: "record the figures there, so that they outlive the process",
 		Args: []Arg{{Name: "path", Kind: "an absolute path on a disk of this machine", Set: func(c *Config, v string) error {
 			if !filepath.IsAbs(v) {
@@ -178,16 +283,20 @@
 		}}}},
 	{Name: "figures customer-field", Needs: "figures customers", Help: "the header that names the customer, instead of the edge node",
 		Args: []Arg{{Name: "header", Kind: "the name of a header, as X-Customer", Set: func(c *Config, v string) error {
-			if len(v) > headerMost || !header.MatchString(v) {
-				return errors.New("no name of a header")
-			}
 			c.Figures.CustomerField = v
-			return nil
+			return headerName(v)
 		}}}},
 }
 
 var header = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9-]*$`)
 
+func headerName(v string) error {
+	if len(v) > headerMost || !header.MatchString(v) {
+		return errors.New("no name of a header")
+	}
+	return nil
+}
+
 func whole(v string, least, most int) (int, error) {
 	n, err := strconv.Atoi(v)
 	if err != nil {
--- a/internal/stand/ask.go
+++ b/internal/stand/ask.go
@@ -15,6 +15,7 @@
 // Asker sends a req and waits for its answer. Many may ask at a time.
 type Asker interface {
 	Ask(r *Req, patient time.Duration) Outcome
+	Exchange(r *Req, patient time.Duration) (Answer, Outcome)
 	Close()
 }
 
@@ -35,8 +36,17 @@
 // NewFastCGI asks at that address.
 func NewFastCGI(address string) *FastCGI { return &FastCGI{address: address} }
 
-// Ask sends a req on a connection with a free slot.
+// Ask sends a req and says what became of it.
 func (a *FastCGI) Ask(r *Req, patient time.Duration) Outcome {
+	got, outcome := a.Exchange(r, patient)
+	if outcome != Served {
+		return outcome
+	}
+	return outcomeOf(got.Status, got.Body, Result(r.ID, r.Body))
+}
+
+// Exchange sends a req on a connection with a free slot and gives its whole answer: Served if there is one, whatever it says.
+func (a *FastCGI) Exchange(r *Req, patient time.Duration) (Answer, Outcome) {
 	a.mu.Lock()
 	var s *slots
 	for _, k := range a.conns {
@@ -48,7 +58,7 @@
 		c, err := net.Dial("tcp", a.address)
 		if err != nil {
 			a.mu.Unlock()
-			return NotSent
+			return Answer{}, NotSent
 		}
 		s = &slots{c: c, open: map[uint16]chan fcgiAnswer{}}
 		a.conns = append(a.conns, s)
@@ -61,24 +71,24 @@
 	_, err := io.WriteString(s.c, r.FastCGI(slot))
 	a.mu.Unlock()
 	if err != nil {
-		return NotSent
+		return Answer{}, NotSent
 	}
 	select {
 	case got, ok := <-answer:
 		switch {
 		case !ok:
-			return Sent
+			return Answer{}, Sent
 		case got.bare && got.status == 2:
-			return Refused
+			return Answer{}, Refused
 		case got.bare:
-			return Failed
+			return Answer{}, Failed
 		}
-		return OutcomeOf(got.text, Result(r.ID, r.Body))
+		return cgiAnswer(got.text), Served
 	case <-time.After(patient):
 		a.mu.Lock()
 		_, _ = io.WriteString(s.c, Abort(slot))
 		a.mu.Unlock()
-		return Sent
+		return Answer{}, Sent
 	}
 }
 
@@ -122,7 +132,7 @@
 // NewAJP asks at that address.
 func NewAJP(address string) *AJP { return &AJP{address: address} }
 
-// Answer is what an AJP server said.
+// Answer is what a box said.
 type Answer struct {
 	Status int
 	Fields map[string]string
--- a/internal/stand/box.go
+++ b/internal/stand/box.go
@@ -61,7 +61,8 @@
 	return ln.Addr().String(), nil
 }
 
-func (b *Box) config() ([]byte, error) {
+// Config is the platform's configuration of it.
+func (b *Box) Config() ([]byte, error) {
 	type m = map[string]any
 	handler := func(name, repeats string, value int) m {
 		return m{"name": name, "credit": value, "giveUpUs": 3_000_000, "goalTimeUs": 1_000_000, "idempotency": repeats}
@@ -84,7 +85,7 @@
 
 // Start starts the process, and returns once it accepts connections.
 func (b *Box) Start() error {
-	text, err := b.config()
+	text, err := b.Config()
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/stand/claims.go
@@ -0,0 +1,153 @@
+package stand
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Claims is a load of reqs that must not run twice: each key is a body, sent under a new id with every try, unmarked, until it is
+// served, and again after that.
+type Claims struct {
+	Handler  string
+	Callers  int           // keys in hand at a time
+	Keys     int           // a caller goes on until it has served so many, or the context is done; 0 only then
+	Repeats  int           // of each that was served
+	Late     float64       // share of the repeats that come long after, among other keys
+	Pause    time.Duration // between tries
+	Patient  time.Duration // for an answer
+	CostMS   float64
+	Padding  int // bytes of a body beyond its key
+	Customer string
+	Took     func(time.Duration) // hears how long each served try took; nil: nobody does
+
+	mu    sync.Mutex
+	of    map[string]*Claim
+	list  []string
+	wrong []string
+}
+
+// Claim is what its callers know of a key.
+type Claim struct {
+	First   string // the first answer that served it
+	Served  int
+	Errored int // tries answered so before that
+	Refused int
+	Cut     int // tries whose connection ended, or that got no answer in time
+}
+
+// Run asks until the context is done; ask gives the asker for a try.
+func (l *Claims) Run(ctx context.Context, seed uint64, ask func(n uint64) Asker) {
+	l.mu.Lock()
+	if l.of == nil {
+		l.of = map[string]*Claim{}
+	}
+	l.mu.Unlock()
+	var all sync.WaitGroup
+	for i := range l.Callers {
+		all.Go(func() {
+			r := rand.New(rand.NewPCG(seed, uint64(i)))
+			for n := 0; ctx.Err() == nil && (l.Keys == 0 || n < l.Keys); n++ {
+				l.claim(ctx, r, fmt.Sprintf("claim %x-%d-%d%*s", seed, i, n, l.Padding, ""), ask)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// claim sends one until it is served and repeated, or errored for good.
+func (l *Claims) claim(ctx context.Context, r *rand.Rand, key string, ask func(n uint64) Asker) {
+	l.mu.Lock()
+	c := &Claim{}
+	l.of[key] = c
+	l.list = append(l.list, key)
+	l.mu.Unlock()
+	for tries, repeats := 0, 0; ctx.Err() == nil && tries < 40 && repeats < l.Repeats+1; tries++ {
+		at := key
+		if c.Served > 0 && r.Float64() < l.Late {
+			l.mu.Lock()
+			at = l.list[r.IntN(len(l.list))]
+			l.mu.Unlock()
+		}
+		status := l.try(r, at, ask)
+		if status == 200 {
+			repeats++
+		}
+		if status == 500 && at == key && c.Errored > 3 {
+			return // it is in doubt: another try won't help
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(l.Pause):
+		}
+	}
+}
+
+func (l *Claims) try(r *rand.Rand, key string, ask func(n uint64) Asker) int {
+	l.mu.Lock()
+	c := l.of[key]
+	known := c.First != ""
+	l.mu.Unlock()
+	n, began := r.Uint64(), time.Now()
+	req := Req{ID: n | 1, Handler: l.Handler, Caller: r.IntN(4), Start: time.Now().UnixMilli(), CostMS: l.CostMS, Body: key,
+		Customer: l.Customer}
+	got, o := ask(n).Exchange(&req, l.Patient)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case o == Refused || o == Served && got.Status == 503:
+		c.Refused++
+		return 503
+	case o != Served && o != Failed:
+		c.Cut++
+		return 0
+	case o == Served && got.Status == 200:
+		if c.First == "" {
+			c.First = got.Body
+		}
+		if c.First != got.Body {
+			l.wrong = append(l.wrong, fmt.Sprintf("%s: answered %q first and %q later", key, c.First, got.Body))
+		}
+		c.Served++
+		if l.Took != nil {
+			l.Took(time.Since(began))
+		}
+		return 200
+	}
+	c.Errored++
+	if known {
+		l.wrong = append(l.wrong, fmt.Sprintf("%s: served, and errored later (%d)", key, got.Status))
+	}
+	return 500
+}
+
+// ClaimSums are what became of all.
+type ClaimSums struct{ Keys, Served, Answers, Doubted, Refused, Cut int }
+
+// Judge holds what callers know against the effects that were counted, and says what is wrong.
+func (l *Claims) Judge(effects map[string]int) (ClaimSums, []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wrong := append([]string(nil), l.wrong...)
+	var s ClaimSums
+	for key, c := range l.of {
+		s.Keys++
+		s.Answers += c.Served
+		s.Refused += c.Refused
+		s.Cut += c.Cut
+		switch n := effects[key]; {
+		case n > 1:
+			wrong = append(wrong, fmt.Sprintf("%s ran %d times", key, n))
+		case n == 0 && c.Served > 0:
+			wrong = append(wrong, fmt.Sprintf("%s: served, and it never ran", key))
+		}
+		if c.Served > 0 {
+			s.Served++
+		} else if c.Errored > 0 {
+			s.Doubted++
+		}
+	}
+	return s, wrong
+}
--- a/internal/stand/edge.go
+++ b/internal/stand/edge.go
@@ -78,12 +78,23 @@
 // Result is what the processor makes of a req.
 func Result(id uint64, body string) string { return fmt.Sprintf("result of %016x: %s", id, body) }
 
+// cgiAnswer reads an answer with fields as of CGI.
+func cgiAnswer(text string) Answer {
+	head, body, _ := strings.Cut(text, "\r\n\r\n")
+	a := Answer{Fields: map[string]string{}, Body: body, Reuse: true}
+	for line := range strings.SplitSeq(head, "\r\n") {
+		name, value, _ := strings.Cut(line, ": ")
+		a.Fields[name] = value
+	}
+	status, _, _ := strings.Cut(a.Fields["Status"], " ")
+	a.Status, _ = strconv.Atoi(status)
+	return a
+}
+
 // OutcomeOf reads an answer with fields as of CGI.
 func OutcomeOf(text, result string) Outcome {
-	fields, body, _ := strings.Cut(text, "\r\n\r\n")
-	status, _, _ := strings.Cut(strings.TrimPrefix(fields, "Status: "), " ")
-	n, _ := strconv.Atoi(strings.TrimSpace(status))
-	return outcomeOf(n, body, result)
+	a := cgiAnswer(text)
+	return outcomeOf(a.Status, a.Body, result)
 }
 
 // outcomeOf is what a status and a body say.
--- a/internal/stand/processor.go
+++ b/internal/stand/processor.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -31,6 +32,7 @@
 	busy    float64 // seconds of cores
 	runs    map[uint64]int
 	ids     map[uint64]string // begun ones and their handlers
+	effects map[string]int    // how often a body was begun, under whatever id; over all Resets
 	wake    chan struct{}
 	done    chan struct{}
 }
@@ -51,7 +53,7 @@
 	}
 	now := time.Now()
 	p := &Processor{Cores: cores, Work: work, ln: ln, started: now, last: now, runs: map[uint64]int{},
-		ids: map[uint64]string{}, wake: make(chan struct{}, 1), done: make(chan struct{})}
+		ids: map[uint64]string{}, effects: map[string]int{}, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	go p.accept()
 	go p.run()
 	return p, nil
@@ -91,6 +93,13 @@
 	return out
 }
 
+// Effects gives how often each body was begun, under whatever id.
+func (p *Processor) Effects() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.effects)
+}
+
 // Handlers gives the handler of each id that was begun.
 func (p *Processor) Handlers() map[uint64]string {
 	p.mu.Lock()
@@ -179,6 +188,7 @@
 		p.advance()
 		p.runs[id]++
 		p.ids[id] = w[2]
+		p.effects[body]++
 		j := &job{id: id, body: body, left: p.Work(id, w[2]).Seconds(), took: time.Now()}
 		p.running = append(p.running, j)
 		if p.Calls != nil && p.Calls(id, w[2]) {
