members: who is there, as a guess that can be refuted

Need: who takes work over has to know when to try; nothing that must not happen twice may hang on it. Change: SWIM with suspicion that can be refuted and adapts to one's own slowness, as a state machine without I/O; boxes by life number.

--- /dev/null
+++ b/members/members.go
@@ -0,0 +1,413 @@
+// Package members tells which boxes are there: alive, suspected, dead or left, each by its life. It is SWIM with the refinements of
+// Lifeguard, as published, as a state machine without I/O, clock or goroutine. What it says is a guess: a suspicion is never a proof,
+// and nothing that must not happen twice may hang on it.
+package members
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State is what is believed of a box.
+type State uint8
+
+// The states. In one life and incarnation a later one overrides an earlier one.
+const (
+	Unknown   State = iota // never heard of in this life
+	Alive                  // it answers
+	Suspected              // it did not answer; it may refute that
+	Dead                   // nor did it refute in time
+	Left                   // it said that it leaves
+)
+
+// String is the state's word.
+func (s State) String() string {
+	return [...]string{"unknown", "alive", "suspected", "dead", "left"}[s]
+}
+
+// Config says how it probes. Missing spans are the usual ones.
+type Config struct {
+	Name    string
+	Life    uint64        // a box that starts again has a higher one
+	Others  []string      // all that may be there
+	Every   time.Duration // between probes
+	Within  time.Duration // for an answer, before others are asked to try
+	Helpers int           // how many of those
+	Patient float64       // a suspected one is dead after so many probe periods, times the log of the number of boxes
+}
+
+const (
+	everyUsual   = 200 * time.Millisecond
+	withinUsual  = 60 * time.Millisecond
+	helpersUsual = 3
+	patientUsual = 3
+	unwellMost   = 8  // steps of one's own slowness: probes are that many times slower at most
+	gossipMost   = 12 // updates on a message
+	gossipTimes  = 3  // that an update is passed on, times the log of the number of boxes
+)
+
+// Update is what somebody believes of a box.
+type Update struct {
+	Name        string
+	Life        uint64
+	Incarnation uint64 // the box raises it to refute
+	State       State
+}
+
+// beats tells whether u overrides o.
+func (u Update) beats(o Update) bool {
+	return cmp.Or(cmp.Compare(u.Life, o.Life), cmp.Compare(u.Incarnation, o.Incarnation), cmp.Compare(u.State, o.State)) > 0
+}
+
+// Kind is what a Message wants.
+type Kind uint8
+
+// The kinds. The numbers go over the wire.
+const (
+	Ping Kind = 1 // answer me
+	Ack  Kind = 2 // I do; For is who was probed
+	Help Kind = 3 // probe For for me
+)
+
+// Message is one between boxes. From, its life and the life of the one it is for are in its envelope.
+type Message struct {
+	Kind    Kind
+	Number  uint64
+	For     string // Help: who is to be probed; Ack: who answered
+	Updates []Update
+}
+
+// Send is a message on its way.
+type Send struct {
+	To string
+	Message
+}
+
+// Change is news of a box.
+type Change struct {
+	Update
+	Before Update
+}
+
+type peer struct {
+	Update
+	due time.Duration // suspected: dead then
+}
+
+type probe struct {
+	of      string
+	number  uint64
+	at      time.Duration
+	helped  bool
+	forWhom string // who asked for it; empty: we do
+	theirs  uint64 // its number there
+}
+
+// List is what one box believes. Make it with New.
+type List struct {
+	cfg     Config
+	self    Update
+	peers   map[string]*peer
+	order   []string // to be probed, shuffled each round
+	next    int
+	probeAt time.Duration
+	probes  []probe
+	number  uint64
+	unwell  int // Lifeguard: how slow this box itself seems
+	news    map[string]int
+	chance  uint64
+	sends   []Send
+	changes []Change
+}
+
+// New returns a list in which nobody has been heard of.
+func New(cfg Config, seed uint64, now time.Duration) *List {
+	cfg.Every, cfg.Within = cmp.Or(cfg.Every, everyUsual), cmp.Or(cfg.Within, withinUsual)
+	cfg.Helpers, cfg.Patient = cmp.Or(cfg.Helpers, helpersUsual), cmp.Or(cfg.Patient, patientUsual)
+	l := &List{cfg: cfg, self: Update{cfg.Name, cfg.Life, 0, Alive}, peers: map[string]*peer{}, news: map[string]int{}, chance: seed | 1,
+		probeAt: now}
+	for _, name := range cfg.Others {
+		if name != cfg.Name {
+			l.peers[name] = &peer{Update: Update{Name: name}}
+			l.order = append(l.order, name)
+		}
+	}
+	slices.Sort(l.order)
+	l.news[cfg.Name] = 0
+	return l
+}
+
+// draw is a number under n, by xorshift from the seed.
+func (l *List) draw(n int) int {
+	l.chance ^= l.chance << 13
+	l.chance ^= l.chance >> 7
+	l.chance ^= l.chance << 17
+	return int(l.chance % uint64(n))
+}
+
+// Of is what is believed of a box.
+func (l *List) Of(name string) Update {
+	if name == l.cfg.Name {
+		return l.self
+	}
+	if p := l.peers[name]; p != nil {
+		return p.Update
+	}
+	return Update{Name: name}
+}
+
+// Alive tells whether a box answers, as far as is known. One that is only suspected still counts.
+func (l *List) Alive(name string) bool {
+	s := l.Of(name).State
+	return s == Alive || s == Suspected
+}
+
+// All gives what is believed of all, by name.
+func (l *List) All() []Update {
+	out := []Update{l.self}
+	for _, p := range l.peers {
+		out = append(out, p.Update)
+	}
+	slices.SortFunc(out, func(x, y Update) int { return cmp.Compare(x.Name, y.Name) })
+	return out
+}
+
+// Unwell is how slow this box itself seems to be, 0 to 8: its suspicions take that much longer.
+func (l *List) Unwell() int { return l.unwell }
+
+// Take hands over what is to be sent, and the news, since the last call.
+func (l *List) Take() ([]Send, []Change) {
+	s, c := l.sends, l.changes
+	l.sends, l.changes = nil, nil
+	return s, c
+}
+
+func (l *List) times(n float64) float64 {
+	size := 1.0
+	for boxes := len(l.peers) + 1; boxes > 1; boxes /= 2 {
+		size++
+	}
+	return n * size
+}
+
+func (l *List) slow(d time.Duration) time.Duration { return d * time.Duration(1+l.unwell) }
+
+func (l *List) feel(by int) { l.unwell = min(max(l.unwell+by, 0), unwellMost) }
+
+// send queues a message with what is new.
+func (l *List) send(to string, m Message) {
+	m.Updates = l.gossip(to)
+	l.sends = append(l.sends, Send{to, m})
+}
+
+// gossip picks what was passed on least so far. Who is suspected hears that first, so that it can refute.
+func (l *List) gossip(to string) []Update {
+	var out []Update
+	if p := l.peers[to]; p != nil && p.State >= Suspected {
+		out = append(out, p.Update)
+	}
+	names := make([]string, 0, len(l.news))
+	for name := range l.news {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(x, y string) int { return cmp.Or(cmp.Compare(l.news[x], l.news[y]), cmp.Compare(x, y)) })
+	most := int(l.times(gossipTimes))
+	for _, name := range names {
+		if len(out) >= gossipMost {
+			break
+		}
+		u := l.Of(name)
+		if u.Life > 0 && (name != to || len(out) == 0) {
+			out = append(out, u)
+		}
+		if l.news[name]++; l.news[name] > most {
+			delete(l.news, name)
+		}
+	}
+	return out
+}
+
+// Next is when Tick wants to be called.
+func (l *List) Next() time.Duration {
+	at := l.probeAt
+	for _, p := range l.probes {
+		at = min(at, p.at+l.limit(p))
+	}
+	for _, p := range l.peers {
+		if p.State == Suspected {
+			at = min(at, p.due)
+		}
+	}
+	return at
+}
+
+// limit is how long a probe waits in its present step.
+func (l *List) limit(p probe) time.Duration {
+	if p.helped || p.forWhom != "" {
+		return l.slow(l.cfg.Every)
+	}
+	return l.slow(l.cfg.Within)
+}
+
+// Tick does what is due.
+func (l *List) Tick(now time.Duration) {
+	for i := 0; i < len(l.probes); i++ {
+		p := &l.probes[i]
+		if now < p.at+l.limit(*p) {
+			continue
+		}
+		if p.helped || p.forWhom != "" {
+			if p.forWhom == "" {
+				l.feel(1) // an answer that never came may be our own fault
+				l.suspect(now, p.of)
+			}
+			l.probes = slices.Delete(l.probes, i, i+1)
+			i--
+			continue
+		}
+		p.helped = true
+		for _, helper := range l.helpers(p.of) {
+			l.send(helper, Message{Kind: Help, Number: p.number, For: p.of})
+		}
+	}
+	for _, name := range l.order {
+		if p := l.peers[name]; p.State == Suspected && now >= p.due {
+			u := p.Update
+			u.State = Dead
+			l.believe(now, u)
+		}
+	}
+	if now >= l.probeAt && len(l.order) > 0 {
+		l.probeAt = now + l.slow(l.cfg.Every)
+		l.probe(now)
+	}
+}
+
+// probe pings the next one of a round.
+func (l *List) probe(now time.Duration) {
+	if l.next == 0 {
+		for i := len(l.order) - 1; i > 0; i-- {
+			k := l.draw(i + 1)
+			l.order[i], l.order[k] = l.order[k], l.order[i]
+		}
+	}
+	of := l.order[l.next]
+	l.next = (l.next + 1) % len(l.order)
+	l.number++
+	l.send(of, Message{Kind: Ping, Number: l.number})
+	if s := l.peers[of].State; s == Alive || s == Suspected {
+		l.probes = append(l.probes, probe{of: of, number: l.number, at: now})
+	}
+}
+
+func (l *List) helpers(not string) []string {
+	var all []string
+	for _, name := range l.order {
+		if name != not && l.peers[name].State == Alive {
+			all = append(all, name)
+		}
+	}
+	for i := range min(l.cfg.Helpers, len(all)) {
+		k := i + l.draw(len(all)-i)
+		all[i], all[k] = all[k], all[i]
+	}
+	return all[:min(l.cfg.Helpers, len(all))]
+}
+
+func (l *List) suspect(now time.Duration, name string) {
+	u := l.peers[name].Update
+	if u.State == Alive {
+		u.State = Suspected
+		l.believe(now, u)
+	}
+}
+
+// Heard follows a message of any kind from a box in that life, also of other packages: it is there.
+func (l *List) Heard(now time.Duration, from string, life uint64) {
+	p := l.peers[from]
+	if p == nil || life < p.Life {
+		return
+	}
+	if life > p.Life || p.State == Unknown {
+		l.believe(now, Update{from, life, 0, Alive})
+	}
+}
+
+// Receive takes a message of a box in that life. One of an earlier life than is known does nothing.
+func (l *List) Receive(now time.Duration, from string, life uint64, m *Message) {
+	p := l.peers[from]
+	if p == nil || life < p.Life {
+		return
+	}
+	l.Heard(now, from, life)
+	for _, u := range m.Updates {
+		l.believe(now, u)
+	}
+	switch m.Kind {
+	case Ping:
+		l.send(from, Message{Kind: Ack, Number: m.Number, For: l.cfg.Name})
+	case Ack:
+		l.acked(now, m.For, m.Number)
+	case Help:
+		if l.peers[m.For] == nil {
+			return
+		}
+		l.number++
+		l.send(m.For, Message{Kind: Ping, Number: l.number})
+		l.probes = append(l.probes, probe{of: m.For, number: l.number, at: now, forWhom: from, theirs: m.Number})
+	}
+}
+
+func (l *List) acked(now time.Duration, of string, number uint64) {
+	for i, p := range l.probes {
+		if p.number != number || p.of != of {
+			continue
+		}
+		l.probes = slices.Delete(l.probes, i, i+1)
+		if p.forWhom != "" {
+			l.send(p.forWhom, Message{Kind: Ack, Number: p.theirs, For: of})
+			return
+		}
+		l.feel(-1)
+		if q := l.peers[of]; q.State == Suspected { // it answers: it will refute, and others are told so by its word alone
+			q.due = max(q.due, now+l.slow(l.cfg.Every))
+		}
+		return
+	}
+}
+
+// believe takes an update if it is newer than what is known. One about this box that is not true is refuted.
+func (l *List) believe(now time.Duration, u Update) {
+	if u.Name == l.cfg.Name {
+		if u.Life == l.self.Life && u.State > Alive && u.Incarnation >= l.self.Incarnation && l.self.State != Left {
+			l.self.Incarnation = u.Incarnation + 1
+			l.feel(1)
+			l.news[l.cfg.Name] = 0
+		}
+		return
+	}
+	p := l.peers[u.Name]
+	if p == nil || !u.beats(p.Update) {
+		return
+	}
+	before := p.Update
+	p.Update = u
+	l.news[u.Name] = 0
+	if u.State == Suspected {
+		p.due = now + l.slow(time.Duration(l.times(l.cfg.Patient)*float64(l.cfg.Every)))
+	}
+	l.changes = append(l.changes, Change{u, before})
+}
+
+// Leave tells all that this box leaves.
+func (l *List) Leave() {
+	l.self.State = Left
+	l.news[l.cfg.Name] = 0
+	for _, name := range l.order {
+		if l.Alive(name) {
+			l.number++
+			l.send(name, Message{Kind: Ping, Number: l.number})
+		}
+	}
+}
