--- a/keep/keep.go
+++ b/keep/keep.go
@@ -125,6 +125,8 @@
 	hand   *hand    // nil unless wanted, begun or ending
 }
 
+const late = math.MaxUint64 // stands for the req whose end turned up: nobody
+
 type hand struct {
 	seq     uint64   // of the record that is waited for
 	first   uint64   // the req that is begun; 0 once it was withdrawn
@@ -332,6 +334,30 @@
 	return o
 }
 
+// Meet says what a req with that key would meet, and takes nothing: Fresh, Known where its forerunner is in hand, or what that one left.
+func (s *Store) Meet(now, made time.Duration, key Key) Outcome {
+	v := s.Look(now, made, key)
+	if e := s.entries[key]; e != nil && e.hand == nil {
+		return Outcome{Verdict: e.verdict(), Result: e.result}
+	}
+	return Outcome{Verdict: v}
+}
+
+// Doubt says that nobody will tell how the run of a key ended: it is as after a restart. Its end may still be told.
+func (s *Store) Doubt(now time.Duration, key Key) []Outcome {
+	s.clock(now)
+	e := s.entries[key]
+	if e == nil || e.hand == nil || e.state != begun {
+		return nil
+	}
+	out := e.hand.tell(nil, InDoubt, nil)
+	e.state, e.hand, e.at = doubted, nil, s.now
+	s.hands--
+	s.doubts++
+	s.order = append(s.order, key)
+	return out
+}
+
 func (e *entry) verdict() Verdict {
 	switch {
 	case e.state == doubted:
@@ -394,6 +420,11 @@
 func (s *Store) Ended(now time.Duration, key Key, kind Kind, result []byte) []Outcome {
 	s.clock(now)
 	e := s.entries[key]
+	if e != nil && e.state == doubted { // it turns up after all
+		e.state, e.hand = begun, &hand{first: late}
+		s.doubts--
+		s.hands++
+	}
 	if e == nil || e.hand == nil || e.state == ending {
 		return nil
 	}
--- /dev/null
+++ b/takeover/group.go
@@ -0,0 +1,71 @@
+package takeover
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"frosthub/keep"
+)
+
+// Member is one box of a cluster, as the operators' files name it.
+type Member struct {
+	Name   string
+	Zone   string
+	Weight float64 // 1 if 0
+}
+
+// Group gives the names of the boxes that note what becomes of a key, by weighted rendezvous hashing: who comes or goes moves only the
+// keys that are its own. Where there are zones enough no two of a group are in one; they are never all in one where there are two.
+func Group(members []Member, key keep.Key, size int) []string {
+	type scored struct {
+		Member
+		score float64
+	}
+	all := make([]scored, 0, len(members))
+	for _, m := range members {
+		h := xxhash.New()
+		_, _ = h.Write(key[:]) // never an error
+		_, _ = h.WriteString(m.Name)
+		unit := (float64(h.Sum64()>>11) + 0.5) / (1 << 53)
+		all = append(all, scored{m, -cmp.Or(m.Weight, 1) / math.Log(unit)})
+	}
+	slices.SortFunc(all, func(x, y scored) int { return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.Name, y.Name)) })
+	var out []string
+	zones := map[string]bool{}
+	for _, others := range []bool{false, true} { // first of each zone, then the rest
+		for _, m := range all {
+			if len(out) < size && !slices.Contains(out, m.Name) && (others || !zones[m.Zone] || m.Zone == "") {
+				zones[m.Zone] = true
+				out = append(out, m.Name)
+			}
+		}
+	}
+	return out
+}
+
+// Ballot orders attempts at one key. The highest goes on; two are never the same.
+type Ballot struct {
+	N    uint64
+	Box  string
+	Life uint64
+}
+
+func (b Ballot) compare(o Ballot) int {
+	return cmp.Or(cmp.Compare(b.N, o.N), cmp.Compare(b.Box, o.Box), cmp.Compare(b.Life, o.Life))
+}
+
+// Work is what another box needs to go on with a req.
+type Work struct {
+	Handler    string
+	Body       []byte
+	Left       int64 // nanoseconds that its caller still waits, when it was sent
+	Cost       int64 // expected, in nanoseconds
+	Size, Rank float64
+}
+
+// keyWord is a key as a number, for ids that stand for it.
+func keyWord(k keep.Key) uint64 { return binary.LittleEndian.Uint64(k[:]) | 1 }
--- /dev/null
+++ b/takeover/sim_test.go
@@ -0,0 +1,456 @@
+package takeover
+
+import (
+	"bytes"
+	"container/heap"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"frosthub/keep"
+)
+
+var schedules = flag.Int("schedules", 2000, "clusters simulated; each takes some hundred steps")
+
+const noon = 500_000 * time.Hour
+
+var bounds = keep.Config{Entries: 1000, Bytes: 100_000, ResultMost: 1000, Lifetime: time.Hour, Horizon: 24 * time.Hour, Segments: 20, Prints: 100,
+	SegmentBytes: 10_000}
+
+// world is a cluster in one process: links that delay, cut one way, lose and repeat; boxes that die and come back with what their disk had
+// confirmed, or stand still; and beliefs about who is alive that are wrong at random.
+type world struct {
+	t     testing.TB
+	r     *rand.Rand
+	seed  uint64
+	now   time.Duration
+	queue events
+	seq   int
+	boxes []*box
+	cut   map[[2]int]bool
+	loss  float64
+	wrong float64       // share of beliefs that are
+	disk  time.Duration // a write takes up to so long
+	keys  map[keep.Key]*truth
+	ids   uint64
+	runs  int
+	bad   string // the first broken rule
+	trace []string
+
+	verdicts map[keep.Verdict]int
+	askedAt  map[uint64]time.Duration
+}
+
+// truth is what really happened to a key.
+type truth struct {
+	effects int
+	answer  []byte
+	since   time.Duration // when it was first given
+	asked   int
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any     { old := *e; x := old[len(old)-1]; *e = old[:len(old)-1]; return x }
+
+type box struct {
+	w       *world
+	n       int
+	name    string
+	life    uint64
+	up      bool
+	still   time.Duration // stands still until then
+	b       *Box
+	store   *keep.Store
+	disk    []keep.Write
+	waiting []keep.Write // handed over, not confirmed
+	ids     map[uint64]keep.Key
+	known   []uint64 // lives of others, as heard
+}
+
+// Alive and Life are what the box believes, right or wrong.
+func (x *box) Alive(name string) bool {
+	n := int(name[0] - 'a')
+	right := x.w.boxes[n].up && x.w.boxes[n].still <= x.w.now && !x.w.cut[[2]int{n, x.n}]
+	if x.w.r.Float64() < x.w.wrong {
+		return !right
+	}
+	return right
+}
+func (x *box) Life(name string) uint64 { return x.known[name[0]-'a'] }
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + d, w.seq, do})
+}
+
+func (w *world) span(most time.Duration) time.Duration {
+	return time.Duration(w.r.Int64N(int64(most) + 1))
+}
+
+func (w *world) log(format string, args ...any) {
+	if len(w.trace) < 3000 {
+		w.trace = append(w.trace, fmt.Sprintf("%8s ", w.now-noon)+fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *world) broken(format string, args ...any) {
+	if w.bad == "" {
+		w.bad = fmt.Sprintf(format, args...)
+		w.log("BROKEN %s", w.bad)
+	}
+}
+
+// on has a box do something later, if it still lives that life; one that stands still does it when it wakes.
+func (x *box) on(d time.Duration, do func()) {
+	life := x.life
+	x.w.after(d, func() {
+		switch {
+		case !x.up || x.life != life:
+		case x.still > x.w.now:
+			x.on(x.still-x.w.now, do)
+		default:
+			do()
+			x.flush()
+		}
+	})
+}
+
+func (x *box) start() {
+	x.life++
+	x.up, x.still, x.ids = true, 0, map[uint64]keep.Key{}
+	x.known = make([]uint64, len(x.w.boxes))
+	x.store, x.waiting = keep.New(bounds), nil
+	for _, r := range x.disk {
+		x.store.Load(r)
+	}
+	x.store.Restarted(x.w.now, false, 0)
+	var members []Member
+	for _, o := range x.w.boxes {
+		members = append(members, Member{Name: o.name, Zone: string('x' + rune(o.n%2))})
+	}
+	x.b = New(Config{Name: x.name, Life: x.life, Members: members, Promise: true}, x.store, x, x.w.r.Uint64(), x.w.now)
+	x.tick()
+	x.flush()
+}
+
+func (x *box) tick() {
+	x.on(20*time.Millisecond, func() {
+		x.b.Tick(x.w.now)
+		x.tick()
+	})
+}
+
+// flush carries out what the box wants.
+func (x *box) flush() {
+	w := x.w
+	if writes := x.store.Writes(); len(writes) > 0 {
+		x.waiting = append(x.waiting, writes...)
+		n := len(x.waiting)
+		x.on(w.span(w.disk), func() {
+			n = min(n, len(x.waiting))
+			if n == 0 {
+				return
+			}
+			seq := x.waiting[n-1].Seq
+			x.disk = append(x.disk, x.waiting[:n]...)
+			x.waiting = x.waiting[n:]
+			x.b.Durable(w.now, seq)
+		})
+	}
+	for {
+		sends, out := x.b.Take()
+		if len(sends)+len(out) == 0 {
+			return
+		}
+		for _, s := range sends {
+			x.send(s)
+		}
+		for _, o := range out {
+			x.outcome(o)
+		}
+	}
+}
+
+func (x *box) send(s Send) {
+	w, to := x.w, int(s.To[0]-'a')
+	if w.cut[[2]int{x.n, to}] || w.r.Float64() < w.loss {
+		return
+	}
+	life, m := x.life, s.Message
+	times := 1
+	if w.r.Float64() < w.loss {
+		times = 2 // the same message again, later
+	}
+	for range times {
+		d := w.span(2 * time.Millisecond)
+		if w.r.IntN(200) == 0 {
+			d += 3 * time.Second
+		}
+		w.after(d, func() {
+			y := w.boxes[to]
+			if !y.up {
+				return
+			}
+			y.on(0, func() {
+				y.known[x.n] = max(y.known[x.n], life)
+				y.b.Receive(w.now, x.name, life, &m)
+			})
+		})
+	}
+}
+
+func (x *box) outcome(o Outcome) {
+	w := x.w
+	k := w.keys[o.Key]
+	w.verdicts[o.Verdict]++
+	w.log("%s/%d %x %d: verdict %d %q", x.name, x.life, o.Key[15], o.ID, o.Verdict, o.Result)
+	switch o.Verdict {
+	case keep.Fresh, Taken:
+		if o.Verdict == keep.Fresh && x.ids[o.ID] == (keep.Key{}) {
+			return // refused: it had been let in before
+		}
+		delete(x.ids, o.ID)
+		x.on(w.span(5*time.Millisecond), func() { // the module has it
+			if w.r.IntN(8) == 0 {
+				x.b.Leave(w.now, o.Key, o.ID)
+			} else {
+				x.b.Begin(w.now, o.Key, o.ID)
+			}
+		})
+	case keep.Known:
+		delete(x.ids, o.ID)
+		x.b.Join(w.now, o.Key, o.ID)
+	case keep.Begin:
+		if w.r.IntN(10) == 0 {
+			x.b.End(w.now, o.Key, o.ID, keep.Never, nil) // nobody waits any more
+			return
+		}
+		k.effects++
+		w.runs++
+		if k.effects > 1 {
+			w.broken("key %x ran twice, on %s/%d now", o.Key[15], x.name, x.life)
+		}
+		result := fmt.Appendf(nil, "run %d of %x", w.runs, o.Key[15])
+		x.on(w.span(20*time.Millisecond), func() {
+			kind := keep.Result
+			if w.r.IntN(12) == 0 {
+				kind, result = keep.Failed, nil
+			}
+			x.b.End(w.now, o.Key, o.ID, kind, result)
+		})
+	case keep.Done, keep.Repeat:
+		if k.answer == nil {
+			k.answer, k.since = o.Result, w.now
+		}
+		if !bytes.Equal(k.answer, o.Result) {
+			w.broken("key %x: %q, and %q before", o.Key[15], o.Result, k.answer)
+		}
+	case keep.InDoubt, keep.Broken:
+		if at, ok := w.askedAt[o.ID]; ok && k.answer != nil && at > k.since { // who asked before may have been told what was so then
+			w.broken("key %x was answered, and is %d now", o.Key[15], o.Verdict)
+		}
+	}
+}
+
+func (w *world) ask() {
+	key := keep.Key{15: byte(w.r.IntN(12))}
+	key[14] = byte(w.seq / 4000)
+	if w.keys[key] == nil {
+		w.keys[key] = &truth{}
+	}
+	w.keys[key].asked++
+	for range 1 + w.r.IntN(2) { // two edge nodes at once
+		x := w.boxes[w.r.IntN(len(w.boxes))]
+		w.ids++
+		id := w.ids
+		if !x.up {
+			continue
+		}
+		x.on(0, func() {
+			x.ids[id], w.askedAt[id] = key, w.now
+			w.log("%s/%d %x %d: asked", x.name, x.life, key[15], id)
+			x.b.Ask(w.now, key, 0, id, Work{Handler: "file-claim", Left: int64(time.Second)})
+		})
+	}
+}
+
+// die has a box come back with what was confirmed, and perhaps some more.
+func (x *box) die() {
+	w := x.w
+	if !x.up {
+		return
+	}
+	w.log("%s/%d dies", x.name, x.life)
+	x.up = false
+	n := 0
+	if len(x.waiting) > 0 && w.r.IntN(2) == 0 {
+		n = w.r.IntN(len(x.waiting) + 1)
+	}
+	x.disk = append(x.disk, x.waiting[:n]...)
+	w.after(w.span(300*time.Millisecond), x.start)
+}
+
+// trouble is one fault.
+func (w *world) trouble() {
+	x := w.boxes[w.r.IntN(len(w.boxes))]
+	switch w.r.IntN(7) {
+	case 0, 1:
+		x.die()
+	case 6: // some at once
+		for _, x := range w.boxes {
+			if w.r.IntN(2) == 0 {
+				x.die()
+			}
+		}
+	case 2:
+		d := w.span(1500 * time.Millisecond)
+		w.log("%s/%d stands still for %s", x.name, x.life, d)
+		x.still = max(x.still, w.now+d)
+	case 3, 4:
+		y := w.boxes[w.r.IntN(len(w.boxes))]
+		if x == y {
+			return
+		}
+		ways := [][2]int{{x.n, y.n}}
+		if w.r.IntN(2) == 0 {
+			ways = append(ways, [2]int{y.n, x.n})
+		}
+		for _, way := range ways {
+			w.log("cut %v", way)
+			w.cut[way] = true
+			w.after(w.span(600*time.Millisecond), func() { delete(w.cut, way) })
+		}
+	case 5: // a side of the cluster cannot hear the other
+		side := w.r.Uint64()
+		w.log("split %b", side&(1<<len(w.boxes)-1))
+		for i := range w.boxes {
+			for k := range w.boxes {
+				if way := [2]int{i, k}; side>>i&1 != side>>k&1 {
+					w.cut[way] = true
+					w.after(w.span(500*time.Millisecond), func() { delete(w.cut, way) })
+				}
+			}
+		}
+	}
+}
+
+// simulate plays a cluster for some seconds of its own time.
+func simulate(t testing.TB, seed uint64, span time.Duration) *world {
+	r := rand.New(rand.NewPCG(seed, 5))
+	w := &world{t: t, r: r, seed: seed, now: noon, cut: map[[2]int]bool{}, keys: map[keep.Key]*truth{}, verdicts: map[keep.Verdict]int{},
+		askedAt: map[uint64]time.Duration{}}
+	w.loss, w.wrong = []float64{0, 0, 0.02, 0.1}[r.IntN(4)], []float64{0, 0.02, 0.3}[r.IntN(3)]
+	w.disk = []time.Duration{4 * time.Millisecond, 60 * time.Millisecond}[r.IntN(2)]
+	for i := range 3 + r.IntN(7) {
+		w.boxes = append(w.boxes, &box{w: w, n: i, name: string(rune('a' + i))})
+	}
+	for _, x := range w.boxes {
+		x.start()
+	}
+	every := 10 + r.IntN(60)
+	for at := time.Duration(0); at < span; at += w.span(20 * time.Millisecond) {
+		w.after(at, w.ask)
+		if r.IntN(every) == 0 {
+			w.after(at, w.trouble)
+		}
+	}
+	for len(w.queue) > 0 && w.now < noon+span && w.bad == "" {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	return w
+}
+
+// TestClusters: whatever fails, no key runs twice, and who is answered is answered alike.
+func TestClusters(t *testing.T) {
+	verdicts, runs, asked := map[keep.Verdict]int{}, 0, 0
+	for seed := range uint64(*schedules) {
+		w := simulate(t, seed, 1200*time.Millisecond)
+		if w.bad != "" {
+			for _, line := range w.trace {
+				t.Log(line)
+			}
+			t.Fatalf("seed %d: %s", seed, w.bad)
+		}
+		runs += w.runs
+		for v, n := range w.verdicts {
+			verdicts[v] += n
+		}
+		for _, k := range w.keys {
+			asked += k.asked
+		}
+	}
+	t.Logf("%d clusters, %d asked, %d runs, verdicts %v", *schedules, asked, runs, verdicts)
+	for _, v := range []keep.Verdict{keep.Done, keep.Repeat, keep.InDoubt, Taken, Undecided} {
+		if verdicts[v] == 0 {
+			t.Errorf("verdict %d was never met", v)
+		}
+	}
+}
+
+// TestRulesAreNeeded: with one of the rules switched off, the schedules of CI find a broken one.
+func TestRulesAreNeeded(t *testing.T) {
+	defer func() { off = 0 }()
+	for _, c := range []struct {
+		off  rule
+		name string
+	}{{ruleMajority, "majority"}, {ruleBallot, "ballot"}, {ruleBegun, "begun"}, {ruleDurable, "durable"}} {
+		off = c.off
+		found := false
+		for seed := uint64(0); seed < uint64(*schedules) && !found; seed++ {
+			if w := simulate(t, seed, 1200*time.Millisecond); w.bad != "" {
+				found = true
+				t.Logf("%s off: seed %d: %s", c.name, seed, w.bad)
+			}
+		}
+		if !found {
+			t.Errorf("%s is off, and nothing is found", c.name)
+		}
+	}
+}
+
+// TestGroup: a key's group changes only by those that come or go, spreads over zones, and follows weights.
+func TestGroup(t *testing.T) {
+	var members []Member
+	for i := range 9 {
+		members = append(members, Member{Name: fmt.Sprint("n", i), Zone: fmt.Sprint(i % 3), Weight: 1 + float64(i/8)})
+	}
+	count, moved := map[string]int{}, 0
+	for i := range 3000 {
+		key := keep.Key{byte(i), byte(i >> 8), 9}
+		g := Group(members, key, 3)
+		zones := map[string]bool{}
+		for _, name := range g {
+			count[name]++
+			zones[fmt.Sprint((name[1]-'0')%3)] = true
+		}
+		if len(g) != 3 || len(zones) != 3 {
+			t.Fatal(g)
+		}
+		if h := Group(members[1:], key, 3); fmt.Sprint(g) != fmt.Sprint(h) {
+			moved++
+			if g[0] != "n0" && g[1] != "n0" && g[2] != "n0" {
+				t.Fatal("moved without need: ", g, h)
+			}
+		}
+	}
+	if moved < 800 || moved > 1200 || count["n8"] < count["n7"]*5/4 || count["n0"] < 850 || count["n0"] > 1150 {
+		t.Error(moved, count)
+	}
+}
--- /dev/null
+++ b/takeover/takeover.go
@@ -0,0 +1,1147 @@
+// Package takeover decides which box goes on with a req that must not run twice when the one that read it is lost. It is a state machine
+// without I/O, clock or goroutine: calls take events, Take gives what is to be sent and what becomes of reqs.
+//
+// Each key has a group of boxes, the same whoever asks. The box that reads a req asks its group for the key under a ballot, and holds it
+// when a majority has granted that; it begins the run only when a majority has noted, durably, that this ballot is about to. Two
+// majorities share a box, so two ballots never both begin; nothing of this hangs on a clock or on who is believed to be alive. Those
+// only tell when to try: a box of the group whose holder seems lost asks under a higher ballot.
+package takeover
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"frosthub/keep"
+)
+
+// Config says who takes part.
+type Config struct {
+	Name    string
+	Life    uint64
+	Members []Member
+	Before  []Member // while the list of members changes: majorities are needed of both lists
+	Size    int      // of a group
+	Patient time.Duration
+	Again   time.Duration // between repeats of what was not answered
+	Promise bool          // what was held goes on although nobody asks for it again
+	Notes   int           // held ones that are noted for others at most
+}
+
+const (
+	sizeUsual    = 3
+	patientUsual = 300 * time.Millisecond
+	againUsual   = 60 * time.Millisecond
+	notesUsual   = 4096
+	rankWait     = 150 * time.Millisecond // that each box of a group gives the one before it
+	doubtAfter   = 30 * time.Second       // past its time a begun one without an end is in doubt for good
+	endFor       = 10 * time.Second       // that an end is repeated for
+	groupsKept   = 4096                   // groups remembered: each takes a hash a member
+)
+
+// Kind is what a Message says.
+type Kind uint8
+
+// The kinds. The numbers go over the wire.
+const (
+	Open    Kind = 1 // grant me the key; Force: although another holds it
+	Opened  Kind = 2
+	Begin   Kind = 3 // I am about to begin
+	Begun   Kind = 4 // noted, durably; or refused
+	End     Kind = 5 // it ended so; Never: it never ran, and may be held again
+	Ended   Kind = 6 // noted
+	Look    Kind = 7 // what is known of it?
+	Seen    Kind = 8
+	Holds   Kind = 9 // do you still hold it?
+	NotHeld Kind = 10
+	Took    Kind = 11 // to who asked meanwhile: it ended so
+	Hand    Kind = 12 // I leave: take it over
+)
+
+// Vote is a box's word on a key.
+type Vote uint8
+
+// The votes.
+const (
+	None    Vote = 0 // nothing is known of it here
+	Granted Vote = 1
+	Lost    Vote = 2 // a higher ballot was granted
+	Held    Vote = 3 // by By
+	Running Vote = 4 // begun by By, and nothing was heard of its end
+	Over    Vote = 5 // End and Result say how
+	Doubted Vote = 6 // begun, and how it ended is not known
+	Gone    Vote = 7 // its result has aged out
+	Silent  Vote = 8 // can't tell
+	Full    Vote = 9 // no room
+)
+
+// Message is one between boxes about a key.
+type Message struct {
+	Kind   Kind
+	Key    keep.Key
+	Ballot Ballot
+	Force  bool
+	Made   time.Duration // since 1970, as its caller told it; 0 not told
+	Vote   Vote
+	By     Ballot
+	End    keep.Kind
+	Result []byte
+	Work   *Work
+}
+
+// Send is a message on its way.
+type Send struct {
+	To string
+	Message
+}
+
+// Outcome is what becomes of a req here. Beside keep's verdicts of reqs: Fresh in answer to Ask has it go to the module; else it is
+// refused, as it never ran and its key is free again. Known has it join.
+type Outcome struct {
+	Key  keep.Key
+	Made time.Duration
+	Work *Work // Taken: this box holds it from now on
+	keep.Outcome
+}
+
+// Taken is the verdict that this box has taken a req over, under the id of the outcome.
+const Taken keep.Verdict = 100
+
+// Undecided is the verdict where the group could not be asked: refused, it never ran.
+const Undecided keep.Verdict = 101
+
+// Peers tells what is believed of boxes.
+type Peers interface {
+	Alive(name string) bool
+	Life(name string) uint64 // 0 not known
+}
+
+// note is what this box keeps for a holder.
+type note struct {
+	key     keep.Key
+	ballot  Ballot
+	begun   bool
+	durable bool
+	made    time.Duration
+	due     time.Duration // on this box's clock
+	work    Work
+	id      uint64 // of the intent in the store
+	waiting map[string]bool
+	lostAt  time.Duration // since when its holder seems lost; 0 it doesn't
+}
+
+type stage uint8
+
+const (
+	opening stage = iota // the group is asked
+	holding              // granted; the module has it
+	begins               // the group is told that it is about to
+	runs                 // begun here
+	ends                 // its end is being noted
+	waits                // another holds it
+	peeking              // nothing may be held: what is known?
+)
+
+// claim is a key that reqs here are about.
+type claim struct {
+	key     keep.Key
+	made    time.Duration
+	work    Work
+	due     time.Duration
+	stage   stage
+	ballot  Ballot
+	force   bool
+	rebegin bool // it was to begin when another ballot was needed
+	first   uint64
+	ids     []uint64
+	untold  []uint64 // of ids: those whose Ask has no answer yet
+	votes   map[string]Message
+	since   time.Duration // of the stage
+	asked   time.Duration // when the last req came
+	sent    time.Duration
+	tries   int
+	taken   bool // first is no req that came here
+	passed  bool // its end is another's, passed on
+	kind    keep.Kind
+	result  []byte
+	told    bool // the module knows of the first
+}
+
+// Box is one box's part. Make it with New.
+type Box struct {
+	cfg     Config
+	store   *keep.Store
+	peers   Peers
+	now     time.Duration
+	notes   map[keep.Key]*note
+	byNote  map[uint64]keep.Key
+	claims  map[keep.Key]*claim
+	noted   []*note  // in the order in which they came; some may be gone
+	claimed []*claim // so too
+	groups  map[keep.Key][][]string
+	top     uint64 // the highest ballot seen
+	ids     uint64
+	sends   []Send
+	out     []Outcome
+	chance  uint64
+	stats   Stats
+	leaving bool
+}
+
+// Stats tell what a box has to do with others.
+type Stats struct {
+	Held    int   `json:"held"`    // reqs that this box holds
+	Waiting int   `json:"waiting"` // and whose holder another is
+	Notes   int   `json:"notes"`   // noted for holders
+	Begun   int   `json:"begun"`   // of them those that are about to run, or do
+	Taken   int64 `json:"taken"`   // taken over so far
+	InDoubt int64 `json:"in_doubt"`
+	Joined  int64 `json:"joined"` // reqs answered by another's run
+	Lost    int64 `json:"lost"`   // held here until another took them
+}
+
+// New returns a box's part, on its store.
+func New(cfg Config, store *keep.Store, peers Peers, seed uint64, now time.Duration) *Box {
+	cfg.Size, cfg.Patient, cfg.Again = cmp.Or(cfg.Size, sizeUsual), cmp.Or(cfg.Patient, patientUsual), cmp.Or(cfg.Again, againUsual)
+	cfg.Notes = cmp.Or(cfg.Notes, notesUsual)
+	return &Box{cfg: cfg, store: store, peers: peers, now: now, notes: map[keep.Key]*note{}, byNote: map[uint64]keep.Key{},
+		claims: map[keep.Key]*claim{}, groups: map[keep.Key][][]string{}, chance: seed | 1}
+}
+
+// Take hands over what is to be sent, and what becomes of reqs, since the last call.
+func (b *Box) Take() ([]Send, []Outcome) {
+	s, o := b.sends, b.out
+	b.sends, b.out = nil, nil
+	return s, o
+}
+
+// Stats gives them.
+func (b *Box) Stats() Stats {
+	s := b.stats
+	for _, c := range b.claims {
+		if c.stage == waits || c.stage == peeking {
+			s.Waiting++
+		} else {
+			s.Held++
+		}
+	}
+	s.Notes = len(b.notes)
+	for _, n := range b.notes {
+		if n.begun {
+			s.Begun++
+		}
+	}
+	return s
+}
+
+func (b *Box) draw(n int) int {
+	b.chance ^= b.chance << 13
+	b.chance ^= b.chance >> 7
+	b.chance ^= b.chance << 17
+	return int(b.chance % uint64(n))
+}
+
+// groupsOf are the groups of which majorities are needed.
+func (b *Box) groupsOf(key keep.Key) [][]string {
+	if g := b.groups[key]; g != nil {
+		return g
+	}
+	g := [][]string{Group(b.cfg.Members, key, b.cfg.Size)}
+	if len(b.cfg.Before) > 0 {
+		g = append(g, Group(b.cfg.Before, key, b.cfg.Size))
+	}
+	if len(b.groups) >= groupsKept {
+		clear(b.groups)
+	}
+	b.groups[key] = g
+	return g
+}
+
+// all are the boxes of both groups.
+func (b *Box) all(key keep.Key) []string {
+	var out []string
+	for _, g := range b.groupsOf(key) {
+		for _, name := range g {
+			if !slices.Contains(out, name) {
+				out = append(out, name)
+			}
+		}
+	}
+	return out
+}
+
+// most tells whether those that count are a majority of each group.
+func (b *Box) most(key keep.Key, counts func(name string) bool) bool {
+	for _, g := range b.groupsOf(key) {
+		n := 0
+		for _, name := range g {
+			if counts(name) {
+				n++
+			}
+		}
+		if 2*n <= len(g) {
+			return false
+		}
+	}
+	return true
+}
+
+// voted tells whether a majority has that vote for the claim's ballot.
+func (b *Box) voted(c *claim, v Vote) bool {
+	return b.most(c.key, func(name string) bool { m, ok := c.votes[name]; return ok && m.Vote == v })
+}
+
+// send gives a message to a box; to this one at once.
+func (b *Box) send(to string, m Message) {
+	if to == b.cfg.Name {
+		b.receive(to, b.cfg.Life, &m)
+		return
+	}
+	b.sends = append(b.sends, Send{to, m})
+}
+
+// toAll sends to the group what some of it have not answered.
+func (b *Box) toAll(c *claim, m Message) {
+	c.sent = b.now
+	m.Key, m.Ballot = c.key, c.ballot
+	for _, name := range b.all(c.key) {
+		if _, answered := c.votes[name]; !answered {
+			b.send(name, m)
+		}
+		if b.claims[c.key] != c || c.ballot != m.Ballot { // the answer of this box ended it
+			return
+		}
+	}
+}
+
+func (b *Box) tell(c *claim, id uint64, v keep.Verdict, result []byte) {
+	b.out = append(b.out, Outcome{Key: c.key, Made: c.made, Outcome: keep.Outcome{ID: id, Verdict: v, Result: result}})
+	switch v {
+	case keep.Repeat:
+		b.stats.Joined++
+	case keep.InDoubt:
+		b.stats.InDoubt++
+	}
+}
+
+// tellAll ends a claim: all its reqs hear.
+func (b *Box) tellAll(c *claim, v keep.Verdict, result []byte) {
+	delete(b.claims, c.key)
+	if c.first != 0 {
+		b.tell(c, c.first, v, result)
+	}
+	for _, id := range c.ids {
+		b.tell(c, id, v, result)
+	}
+}
+
+func (b *Box) enter(c *claim, s stage) {
+	c.stage, c.since, c.votes = s, b.now, map[string]Message{}
+}
+
+// Ask takes a req that was read here. The outcome is Fresh (it may go to the module), Known (it may join), or what it meets.
+func (b *Box) Ask(now time.Duration, key keep.Key, made time.Duration, id uint64, w Work) {
+	b.now = max(b.now, now)
+	if c := b.claims[key]; c != nil {
+		c.ids = append(c.ids, id)
+		c.asked = b.now
+		if c.untold = append(c.untold, id); c.stage != opening {
+			b.tellKnown(c)
+		}
+		return
+	}
+	c := b.newClaim(key, made)
+	c.work, c.due, c.first = w, b.now+time.Duration(w.Left), id
+	b.open(c, false)
+}
+
+func (b *Box) newClaim(key keep.Key, made time.Duration) *claim {
+	c := &claim{key: key, made: made}
+	b.claims[key] = c
+	b.claimed = append(b.claimed, c)
+	return c
+}
+
+func (b *Box) newNote(key keep.Key) *note {
+	n := &note{key: key}
+	b.notes[key] = n
+	b.noted = append(b.noted, n)
+	return n
+}
+
+// tellKnown lets those that ask join.
+func (b *Box) tellKnown(c *claim) {
+	for _, id := range c.untold {
+		b.tell(c, id, keep.Known, nil)
+	}
+	c.untold = nil
+}
+
+// open asks the group for a key under a new ballot.
+func (b *Box) open(c *claim, force bool) {
+	b.top++
+	c.ballot, c.force = Ballot{b.top, b.cfg.Name, b.cfg.Life}, force
+	c.tries++
+	b.enter(c, opening)
+	b.askOpen(c)
+}
+
+func (b *Box) askOpen(c *claim) {
+	w := c.work
+	w.Left = int64(c.due - b.now)
+	b.toAll(c, Message{Kind: Open, Force: c.force, Made: c.made, Work: &w})
+}
+
+// Forerunner is the req here that a repeat of a key would join, 0 if there is none.
+func (b *Box) Forerunner(key keep.Key) uint64 {
+	if c := b.claims[key]; c != nil {
+		return c.first
+	}
+	return 0
+}
+
+// Begin says that the module wants a req to run. The outcome Begin lets it; else it hears how another ran.
+func (b *Box) Begin(now time.Duration, key keep.Key, id uint64) {
+	b.now = max(b.now, now)
+	c := b.claims[key]
+	switch {
+	case c == nil || c.stage == peeking:
+		b.out = append(b.out, Outcome{Key: key, Outcome: keep.Outcome{ID: id, Verdict: keep.Fresh}})
+	case c.stage == holding && c.first == id:
+		b.begin(c)
+	case c.first != id && !slices.Contains(c.ids, id):
+		c.ids = append(c.ids, id)
+	}
+}
+
+func (b *Box) begin(c *claim) {
+	b.enter(c, begins)
+	b.toAll(c, Message{Kind: Begin, Made: c.made})
+}
+
+// Join has a repeat wait for what its forerunner gets.
+func (b *Box) Join(now time.Duration, key keep.Key, id uint64) {
+	b.now = max(b.now, now)
+	if b.claims[key] == nil { // it ended since
+		b.out = append(b.out, Outcome{Key: key, Outcome: keep.Outcome{ID: id, Verdict: keep.Fresh}})
+	}
+}
+
+// Leave says that a req no longer waits, and never ran: refused, given up, its caller gone.
+func (b *Box) Leave(now time.Duration, key keep.Key, id uint64) {
+	b.now = max(b.now, now)
+	c := b.claims[key]
+	if c == nil {
+		return
+	}
+	if c.first != id {
+		c.ids = slices.DeleteFunc(c.ids, func(x uint64) bool { return x == id })
+		if c.first == 0 && len(c.ids) == 0 && (c.stage == waits || c.stage == peeking) {
+			delete(b.claims, key)
+		}
+		return
+	}
+	switch c.stage {
+	case waits, peeking:
+		if c.first = 0; len(c.ids) == 0 {
+			delete(b.claims, key)
+		}
+	case opening, holding, begins:
+		b.release(c)
+	case runs, ends:
+	}
+}
+
+// release gives a key back that surely never ran under the claim's ballot.
+func (b *Box) release(c *claim) {
+	c.first = 0
+	b.end(c, keep.Never, nil)
+}
+
+// End says how a run that was begun ended. Done is the outcome of a good one, when a majority has noted it.
+func (b *Box) End(now time.Duration, key keep.Key, id uint64, kind keep.Kind, result []byte) {
+	b.now = max(b.now, now)
+	c := b.claims[key]
+	if c == nil || c.first != id || c.stage != runs {
+		return
+	}
+	b.end(c, kind, result)
+}
+
+func (b *Box) end(c *claim, kind keep.Kind, result []byte) {
+	b.enter(c, ends)
+	c.kind, c.result = kind, slices.Clone(result)
+	v := keep.Broken
+	if kind == keep.Never {
+		v = keep.Fresh
+	}
+	if kind == keep.Failed || kind == keep.Never {
+		c.first = 0 // it was answered
+		for _, id := range c.ids {
+			b.tell(c, id, v, nil)
+		}
+		c.ids = nil
+	}
+	b.toAll(c, Message{Kind: End, End: kind, Result: c.result, Made: c.made})
+}
+
+// Hands gives up what this box holds and has not begun, for another to take over; reqs that came here wait for it.
+func (b *Box) Hands(now time.Duration, key keep.Key, id uint64) bool {
+	b.now = max(b.now, now)
+	c := b.claims[key]
+	if c == nil || c.first != id || c.stage != holding || c.taken {
+		return false
+	}
+	to := ""
+	for _, name := range b.all(key) {
+		if name != b.cfg.Name && b.peers.Alive(name) {
+			to = name
+			break
+		}
+	}
+	if to == "" {
+		return false
+	}
+	w := c.work
+	w.Left = int64(c.due - b.now)
+	b.send(to, Message{Kind: Hand, Key: key, Ballot: c.ballot, Made: c.made, Work: &w})
+	c.ids = append([]uint64{c.first}, c.ids...)
+	c.first = 0
+	b.enter(c, waits)
+	return true
+}
+
+// Durable says how far the store's writes are on the disk.
+func (b *Box) Durable(now time.Duration, seq uint64) {
+	b.now = max(b.now, now)
+	b.stored(b.store.Durable(seq))
+}
+
+// Failed says that the disk takes nothing more: this box notes nothing any more.
+func (b *Box) Failed(now time.Duration) {
+	b.now = max(b.now, now)
+	b.stored(b.store.DiskFailed())
+}
+
+// stored follows what the store says of notes.
+func (b *Box) stored(all []keep.Outcome) {
+	for _, o := range all {
+		key, ok := b.byNote[o.ID]
+		if !ok {
+			continue
+		}
+		n := b.notes[key]
+		switch o.Verdict {
+		case keep.Begin:
+			n.durable = true
+			b.send(n.ballot.Box, Message{Kind: Begun, Key: key, Ballot: n.ballot, Vote: Granted})
+		case keep.Done:
+			b.forget(key, n)
+			b.send(n.ballot.Box, Message{Kind: Ended, Key: key, Ballot: n.ballot, Vote: Granted})
+			b.tellWaiting(key, n, keep.Result, o.Result)
+		case keep.Unguarded:
+			b.forget(key, n)
+			b.send(n.ballot.Box, Message{Kind: Begun, Key: key, Ballot: n.ballot, Vote: Full})
+		}
+	}
+}
+
+// tellWaiting lets boxes know that asked while it was in hand.
+func (b *Box) tellWaiting(key keep.Key, n *note, kind keep.Kind, result []byte) {
+	for _, name := range slices.Sorted(maps.Keys(n.waiting)) {
+		b.send(name, Message{Kind: Took, Key: key, Ballot: n.ballot, Vote: Over, End: kind, Result: result})
+	}
+}
+
+func (b *Box) forget(key keep.Key, n *note) {
+	delete(b.byNote, n.id)
+	delete(b.notes, key)
+}
+
+// Receive takes a message of a box in that life. One of an earlier life than is known does nothing.
+func (b *Box) Receive(now time.Duration, from string, life uint64, m *Message) {
+	b.now = max(b.now, now)
+	if life < b.peers.Life(from) {
+		return
+	}
+	b.receive(from, life, m)
+}
+
+func (b *Box) receive(from string, life uint64, m *Message) {
+	b.top = max(b.top, m.Ballot.N, m.By.N)
+	switch m.Kind {
+	case Open, Begin, End: // of the holder itself, in this life, or it is not heeded; how a run ended others pass on
+		if (m.Kind != End || m.End == keep.Never) && (m.Ballot.Box != from || m.Ballot.Life != life) {
+			return
+		}
+	}
+	switch m.Kind {
+	case Open:
+		b.grant(from, m)
+	case Begin:
+		b.noteBegin(from, m)
+	case End:
+		b.noteEnd(from, m)
+	case Look:
+		v := b.vote(m.Key, m.Made, from)
+		v.Kind, v.Key, v.Ballot = Seen, m.Key, m.Ballot
+		b.send(from, v)
+	case Holds:
+		c := b.claims[m.Key]
+		if m.Ballot.Life == b.cfg.Life && c != nil && c.ballot == m.Ballot && c.stage != waits && c.stage != peeking {
+			return // yes
+		}
+		b.send(from, Message{Kind: NotHeld, Key: m.Key, Ballot: m.Ballot})
+	case Hand:
+		if n := b.notes[m.Key]; n != nil && !n.begun && n.ballot == m.Ballot && b.claims[m.Key] == nil {
+			b.takeOver(m.Key, n)
+		}
+	case Opened, Begun, Ended, Seen, NotHeld, Took:
+		b.answered(from, m)
+	}
+}
+
+// vote is what this box knows of a key; from is told how it ends if it is in hand.
+func (b *Box) vote(key keep.Key, made time.Duration, from string) Message {
+	if n := b.notes[key]; n != nil {
+		if n.waiting == nil {
+			n.waiting = map[string]bool{}
+		}
+		if from != n.ballot.Box {
+			n.waiting[from] = true
+		}
+		v := Held
+		if n.begun {
+			v = Running
+		}
+		return Message{Vote: v, By: n.ballot}
+	}
+	o := b.store.Meet(b.now, made, key)
+	switch o.Verdict {
+	case keep.Fresh:
+		return Message{Vote: None}
+	case keep.Repeat:
+		return Message{Vote: Over, End: keep.Result, Result: o.Result}
+	case keep.Broken:
+		return Message{Vote: Over, End: keep.Failed}
+	case keep.InDoubt:
+		return Message{Vote: Doubted}
+	case keep.TooLate:
+		return Message{Vote: Gone}
+	case keep.Unguarded:
+		return Message{Vote: Full}
+	}
+	return Message{Vote: Silent}
+}
+
+// grant answers who asks for a key.
+func (b *Box) grant(from string, m *Message) {
+	v := b.vote(m.Key, m.Made, from)
+	n := b.notes[m.Key]
+	switch {
+	case off == ruleBegun && v.Vote == Running && m.Force:
+		n.ballot = m.Ballot
+		v = Message{Vote: Granted}
+	case v.Vote == Held && (m.Force || n.ballot.Box == from) && m.Ballot.compare(n.ballot) > 0,
+		v.Vote == Running && n.ballot.Box == from && n.ballot.Life == m.Ballot.Life && m.Ballot.compare(n.ballot) > 0:
+		if v.Vote == Running { // who was about to begin has not, and gives that ballot up
+			b.stored(b.store.Ended(b.now, m.Key, keep.Never, nil))
+			b.forget(m.Key, n)
+			waiting := n.waiting
+			n = b.newNote(m.Key)
+			n.waiting = waiting
+		}
+		v = Message{Vote: Granted}
+	case v.Vote == Held && m.Ballot == n.ballot: // again
+		v = Message{Vote: Granted}
+	case v.Vote == Held && m.Force:
+		v.Vote = Lost
+	case v.Vote == None && len(b.notes) >= b.cfg.Notes:
+		v.Vote = Full
+	case v.Vote == None:
+		n = b.newNote(m.Key)
+		v = Message{Vote: Granted}
+	}
+	if v.Vote == Granted {
+		n.ballot, n.made, n.lostAt = m.Ballot, m.Made, 0
+		if m.Work != nil {
+			n.work, n.due = *m.Work, b.now+time.Duration(m.Work.Left)
+			n.work.Body = slices.Clone(m.Work.Body)
+		}
+	}
+	v.Kind, v.Key, v.Ballot = Opened, m.Key, m.Ballot
+	b.send(from, v)
+}
+
+// noteBegin notes that a holder is about to begin, if its ballot is the one that was granted.
+func (b *Box) noteBegin(from string, m *Message) {
+	n := b.notes[m.Key]
+	answer := func(v Vote, by Ballot) {
+		b.send(from, Message{Kind: Begun, Key: m.Key, Ballot: m.Ballot, Vote: v, By: by})
+	}
+	switch {
+	case n == nil:
+		answer(Lost, Ballot{})
+	case n.ballot != m.Ballot && off != ruleBallot:
+		answer(Lost, n.ballot)
+	case n.begun && n.durable:
+		answer(Granted, Ballot{})
+	case n.begun: // it is being written
+	default:
+		b.ids++
+		n.id = b.ids
+		o := b.store.Arrive(b.now, m.Made, m.Key, n.id)
+		if o.Verdict != keep.Wait {
+			answer(Full, Ballot{})
+			return
+		}
+		n.begun = true
+		b.byNote[n.id] = m.Key
+		if off == ruleDurable {
+			answer(Granted, Ballot{})
+		}
+	}
+}
+
+// rule is one that a test of the tests switches off.
+type rule uint8
+
+const (
+	ruleMajority rule = iota + 1 // begin only when a majority has noted that
+	ruleBallot                   // note a begin only under the ballot that was granted last
+	ruleBegun                    // grant no key that is noted as begun
+	ruleDurable                  // note it durably before saying so
+)
+
+var off rule
+
+// noteEnd notes how a run ended, or that a key is given back. Who says how it ended ran it, under whatever ballot this box knows of.
+func (b *Box) noteEnd(from string, m *Message) {
+	n := b.notes[m.Key]
+	answer := func(v Vote) { b.send(from, Message{Kind: Ended, Key: m.Key, Ballot: m.Ballot, Vote: v}) }
+	if m.End == keep.Never {
+		if n != nil && n.ballot == m.Ballot {
+			if n.begun {
+				b.stored(b.store.Ended(b.now, m.Key, keep.Never, nil))
+			}
+			b.forget(m.Key, n)
+		}
+		answer(Granted)
+		return
+	}
+	if n == nil {
+		v := b.store.Meet(b.now, m.Made, m.Key).Verdict
+		switch v {
+		case keep.Repeat, keep.Broken, keep.TooLate: // it is noted already
+			answer(Granted)
+			return
+		case keep.Fresh, keep.InDoubt: // others noted its begin, or an earlier life of this box did
+			n = b.newNote(m.Key)
+			n.begun = v == keep.InDoubt
+		default:
+			answer(Full)
+			return
+		}
+	}
+	n.ballot = m.Ballot
+	if !n.begun || n.id == 0 {
+		b.ids++
+		n.id = b.ids
+	}
+	if !n.begun {
+		if o := b.store.Arrive(b.now, m.Made, m.Key, n.id); o.Verdict != keep.Wait {
+			b.forget(m.Key, n)
+			answer(Full)
+			return
+		}
+		n.begun = true
+	}
+	b.byNote[n.id] = m.Key
+	if m.End == keep.Failed {
+		b.store.Ended(b.now, m.Key, keep.Failed, nil)
+		b.tellWaiting(m.Key, n, keep.Failed, nil)
+		b.forget(m.Key, n)
+		answer(Granted)
+		return
+	}
+	b.stored(b.store.Ended(b.now, m.Key, m.End, m.Result)) // acknowledged when it is durable
+}
+
+// answered follows the answer of a box of the group.
+func (b *Box) answered(from string, m *Message) {
+	c := b.claims[m.Key]
+	if c == nil {
+		return
+	}
+	switch {
+	case m.Kind == Took:
+		if c.stage == waits || c.stage == peeking {
+			b.over(c, m)
+		}
+	case m.Kind == NotHeld:
+		if c.stage == waits && c.votes["holder"].By == m.Ballot {
+			b.look(c)
+		}
+	case m.Ballot != c.ballot:
+	case m.Kind == Opened && c.stage == opening:
+		c.votes[from] = *m
+		b.decide(c)
+	case m.Kind == Begun && c.stage == begins:
+		c.votes[from] = *m
+		lost := false
+		possible := b.most(c.key, func(name string) bool {
+			m, ok := c.votes[name]
+			lost = lost || m.Vote == Lost
+			return !ok || m.Vote == Granted
+		})
+		switch {
+		case b.voted(c, Granted), off == ruleMajority && m.Vote == Granted:
+			b.enter(c, runs)
+			b.tell(c, c.first, keep.Begin, nil)
+		case possible:
+		case lost: // another ballot is needed, or another box has it
+			c.rebegin = true
+			b.open(c, false)
+		default:
+			b.refuse(c, keep.Unguarded)
+		}
+	case m.Kind == Ended && c.stage == ends:
+		c.votes[from] = *m
+		if b.voted(c, Granted) {
+			b.ended(c)
+		}
+	case m.Kind == Seen && c.stage == peeking:
+		c.votes[from] = *m
+		b.decide(c)
+	}
+}
+
+// ended follows the word of a majority that the end is noted.
+func (b *Box) ended(c *claim) {
+	delete(b.claims, c.key)
+	if c.kind != keep.Result {
+		return
+	}
+	if c.first != 0 && !c.passed {
+		b.tell(c, c.first, keep.Done, c.result)
+		c.first = 0
+	}
+	b.tellAll(c, keep.Repeat, c.result)
+}
+
+// over ends a claim by another's run. Its result is an answer once a majority has noted it: who died may have told only one.
+func (b *Box) over(c *claim, m *Message) {
+	switch m.End {
+	case keep.Result:
+		if b.voted(c, Over) {
+			b.tellAll(c, keep.Repeat, m.Result)
+			return
+		}
+		b.tellKnown(c)
+		b.enter(c, ends)
+		c.kind, c.result, c.passed, c.told = keep.Result, m.Result, true, true
+		b.toAll(c, Message{Kind: End, End: keep.Result, Result: c.result, Made: c.made})
+	case keep.Long:
+		b.tellAll(c, keep.TooLate, nil)
+	default:
+		b.tellAll(c, keep.Broken, nil)
+	}
+}
+
+// refuse ends a claim that was never begun: what was granted is given back.
+func (b *Box) refuse(c *claim, v keep.Verdict) {
+	first, ids := c.first, c.ids
+	c.first, c.ids = 0, nil
+	if c.stage == opening || c.stage == begins {
+		b.end(c, keep.Never, nil)
+	} else {
+		delete(b.claims, c.key)
+	}
+	if first != 0 {
+		b.tell(c, first, v, nil)
+	}
+	for _, id := range ids {
+		b.tell(c, id, v, nil)
+	}
+}
+
+// decide looks at what the group has said so far.
+func (b *Box) decide(c *claim) {
+	var over, by *Message
+	doubted, gone, silent, full := false, false, false, false
+	for _, name := range b.all(c.key) {
+		m, ok := c.votes[name]
+		if !ok {
+			continue
+		}
+		switch m.Vote {
+		case Over:
+			if over == nil || m.End == keep.Result {
+				over = &m
+			}
+		case Running:
+			if by == nil || by.Vote != Running || m.By.compare(by.By) > 0 {
+				by = &m
+			}
+		case Held, Lost:
+			if by == nil || by.Vote != Running && m.By.compare(by.By) > 0 {
+				by = &m
+			}
+		case Doubted:
+			doubted = true
+		case Gone:
+			gone = true
+		case Silent:
+			silent = true
+		case Full:
+			full = true
+		}
+	}
+	every := b.most(c.key, func(name string) bool { _, ok := c.votes[name]; return ok })
+	if every && b.now-c.since < c.patience(b.cfg) { // some may still say more
+		every = len(c.votes) == len(b.all(c.key)) || !doubted && !gone && (by == nil || by.Vote != Running)
+	}
+	switch {
+	case over != nil:
+		b.dropGrants(c)
+		b.over(c, over)
+	case c.stage == opening && b.voted(c, Granted): // whatever else is noted was noted by less than a majority, and can't be any more
+		b.granted(c)
+	case !every:
+	case by != nil && by.Vote == Running && b.lost(by.By), doubted && (by == nil || by.Vote != Running):
+		b.dropGrants(c)
+		if c.asked >= c.since { // who came since may have a right to better
+			b.look(c)
+			return
+		}
+		b.tellAll(c, keep.InDoubt, nil)
+	case gone:
+		b.dropGrants(c)
+		b.tellAll(c, keep.TooLate, nil)
+	case c.stage == peeking && b.voted(c, None):
+		b.tellAll(c, keep.Fresh, nil)
+	case by != nil && (by.Vote == Running || !b.lost(by.By)) && by.By.Box != b.cfg.Name:
+		b.waitFor(c, by.By)
+	case by != nil && c.stage == opening && c.tries < 8: // its holder is lost, or this box was: ask above it
+		b.open(c, true)
+	case by != nil && c.stage == peeking:
+		b.waitFor(c, by.By)
+	case len(c.votes) < len(b.all(c.key)) && b.now-c.since < b.cfg.Patient: // who has not answered may help
+	case c.stage == opening:
+		v := Undecided
+		if silent {
+			v = keep.Blind
+		} else if full {
+			v = keep.NoRoom
+		}
+		b.refuse(c, v)
+	}
+}
+
+// patience is how long the rest of a group is waited for once a majority has spoken.
+func (c *claim) patience(cfg Config) time.Duration { return cfg.Patient / 4 }
+
+// lost tells whether a ballot's holder seems to be no more.
+func (b *Box) lost(by Ballot) bool {
+	if by.Box == b.cfg.Name {
+		return by.Life != b.cfg.Life
+	}
+	return !b.peers.Alive(by.Box) || b.peers.Life(by.Box) > by.Life
+}
+
+// granted follows the majority's grant: this box holds the key.
+func (b *Box) granted(c *claim) {
+	b.enter(c, holding)
+	switch {
+	case c.rebegin:
+		c.rebegin = false
+		b.begin(c)
+	case c.taken && !c.told:
+		c.told = true
+		b.stats.Taken++
+		w := c.work
+		w.Left = int64(c.due - b.now)
+		b.out = append(b.out, Outcome{Key: c.key, Made: c.made, Work: &w, Outcome: keep.Outcome{ID: c.first, Verdict: Taken}})
+	case c.first != 0 && !c.told:
+		c.told = true
+		b.tell(c, c.first, keep.Fresh, nil)
+	}
+	b.tellKnown(c)
+}
+
+// dropGrants gives back what was granted to a claim that ends otherwise.
+func (b *Box) dropGrants(c *claim) {
+	if c.stage != opening {
+		return
+	}
+	for name, m := range c.votes {
+		if m.Vote == Granted {
+			b.send(name, Message{Kind: End, Key: c.key, Ballot: c.ballot, End: keep.Never})
+		}
+	}
+}
+
+// waitFor has a claim's reqs wait for another's run.
+func (b *Box) waitFor(c *claim, by Ballot) {
+	b.dropGrants(c)
+	if c.rebegin || c.stage == opening && c.told {
+		b.stats.Lost++
+	}
+	if c.taken { // the module need not run it after all
+		if c.told {
+			b.tell(c, c.first, keep.Fresh, nil)
+		}
+		c.taken, c.first = false, 0
+	}
+	b.enter(c, waits)
+	if c.first != 0 && !c.told {
+		b.tell(c, c.first, keep.Known, nil)
+	}
+	c.rebegin, c.told = false, true
+	c.votes["holder"] = Message{By: by}
+	b.tellKnown(c)
+	if c.first == 0 && len(c.ids) == 0 {
+		delete(b.claims, c.key)
+		return
+	}
+	if by.Box != "" {
+		b.send(by.Box, Message{Kind: Holds, Key: c.key, Ballot: by})
+	}
+	c.sent = b.now + time.Duration(b.draw(int(b.cfg.Again)))
+}
+
+// look asks the group what is known, for reqs that wait.
+func (b *Box) look(c *claim) {
+	b.top++
+	c.ballot = Ballot{b.top, b.cfg.Name, b.cfg.Life}
+	b.enter(c, peeking)
+	b.toAll(c, Message{Kind: Look, Made: c.made})
+}
+
+// takeOver has this box ask for a key whose holder is lost, or leaves.
+func (b *Box) takeOver(key keep.Key, n *note) {
+	c := b.claims[key]
+	if c == nil {
+		c = b.newClaim(key, n.made)
+	} else if c.first != 0 {
+		c.ids = append([]uint64{c.first}, c.ids...)
+	}
+	b.ids++
+	c.work, c.due, c.first, c.taken, c.told, c.tries = n.work, n.due, takenID|b.ids, true, false, 0
+	b.open(c, true)
+}
+
+// takenID marks ids of reqs that came to another box.
+const takenID = 1 << 63
+
+// IsTaken tells whether an id is that of a req that was taken over.
+func IsTaken(id uint64) bool { return id >= takenID }
+
+// Tick does what is due.
+func (b *Box) Tick(now time.Duration) {
+	b.now = max(b.now, now)
+	claimed := b.claimed
+	b.claimed = nil
+	kept := claimed[:0]
+	for _, c := range claimed {
+		if b.claims[c.key] == c {
+			b.tick(c)
+			kept = append(kept, c)
+		}
+	}
+	b.claimed = append(kept, b.claimed...)
+	noted := b.noted
+	b.noted = nil
+	left := noted[:0]
+	for _, n := range noted {
+		if b.notes[n.key] == n {
+			b.tickNote(n.key, n)
+			left = append(left, n)
+		}
+	}
+	b.noted = append(left, b.noted...)
+}
+
+func (b *Box) tick(c *claim) {
+	again := b.now-c.sent >= b.cfg.Again
+	switch c.stage {
+	case opening:
+		if b.now-c.since >= b.cfg.Patient {
+			b.decide(c)
+			if b.claims[c.key] == c && c.stage == opening && b.now-c.since >= b.cfg.Patient {
+				b.refuse(c, Undecided)
+			}
+			return
+		}
+		if b.decide(c); again && b.claims[c.key] == c && c.stage == opening {
+			b.askOpen(c)
+		}
+	case begins:
+		if b.now > c.due { // nobody waits any more, and it surely never ran
+			b.refuse(c, Undecided)
+		} else if again {
+			b.toAll(c, Message{Kind: Begin, Made: c.made})
+		}
+	case ends:
+		if b.now-c.since > endFor {
+			delete(b.claims, c.key)
+		} else if again {
+			b.toAll(c, Message{Kind: End, End: c.kind, Result: c.result, Made: c.made})
+		}
+	case waits:
+		if again && b.now-c.sent >= 3*b.cfg.Again {
+			b.look(c)
+		}
+	case peeking:
+		if b.decide(c); b.claims[c.key] == c && c.stage == peeking {
+			if b.now-c.since >= b.cfg.Patient {
+				b.look(c)
+			} else if again {
+				b.toAll(c, Message{Kind: Look, Made: c.made})
+			}
+		}
+	}
+}
+
+// tickNote looks whether a holder is lost, and lets go of what is past its time.
+func (b *Box) tickNote(key keep.Key, n *note) {
+	if n.begun {
+		if b.now > n.due+doubtAfter && b.lost(n.ballot) {
+			b.store.Doubt(b.now, key)
+			b.forget(key, n)
+		}
+		return
+	}
+	if b.now > n.due {
+		b.forget(key, n)
+		return
+	}
+	if !b.lost(n.ballot) {
+		n.lostAt = 0
+		return
+	}
+	if n.lostAt == 0 {
+		n.lostAt = b.now
+	}
+	c := b.claims[key]
+	if c != nil && c.stage != waits && c.stage != peeking || b.leaving || !b.cfg.Promise && c == nil && len(n.waiting) == 0 {
+		return
+	}
+	rank := 0
+	for _, name := range b.all(key) {
+		if name == b.cfg.Name {
+			break
+		}
+		if b.peers.Alive(name) {
+			rank++
+		}
+	}
+	if b.now-n.lostAt >= time.Duration(rank)*rankWait {
+		n.lostAt = b.now
+		b.takeOver(key, n)
+	}
+}
+
+// Leaving says that this box takes nothing over any more.
+func (b *Box) Leaving() { b.leaving = true }
