--- a/account/reason.go
+++ b/account/reason.go
@@ -29,6 +29,7 @@
 	StillReading   Reason = 13
 	KeepFull       Reason = 14
 	ComeAgain      Reason = 15
+	Undecided      Reason = 3
 	BadFields      Reason = 16
 	NoHandler      Reason = 17
 	NotWhole       Reason = 18
@@ -75,6 +76,7 @@
 	StillReading:   {Refused, "still-reading", "must not run twice, and what ran before is still being read from the disk"},
 	KeepFull:       {Refused, "keep-full", "must not run twice, and there is no room to keep that it ran"},
 	ComeAgain:      {Refused, "come-again", "repeats a req that is now proved never to have run"},
+	Undecided:      {Refused, "undecided", "must not run twice, and too few boxes of its group could be asked"},
 	BadFields:      {Failed, "bad-fields", "a field is missing, out of range or too long"},
 	NoHandler:      {Failed, "no-handler", "its handler is not known here"},
 	NotWhole:       {Failed, "not-whole", "it did not come whole in time"},
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -71,6 +71,7 @@
 	lease     lease
 	keys      keys
 	keeper    keeper
+	cluster   cluster
 	count     Counters
 	turned    atomic.Int64 // connections that found no room
 	notes     map[string]*seldom.Line
@@ -114,6 +115,7 @@
 		}
 		b.handlers = append(b.handlers, handler{name: name, replayable: m["repeats"] == "replayable", timeout: timeout})
 	}
+	b.cluster.init(b)
 	b.door.init(b)
 	b.link.init(b)
 	if len(cfg.NextAJP.Route.Peers) > 0 {
@@ -189,6 +191,13 @@
 	defer b.closeListener()
 	b.keeper.open()
 	defer b.keeper.close()
+	if b.cluster.on() {
+		ln, err := b.box.Listen(b.cfg.Cluster.Listen, b.door.room(), b.cluster.take, func() { b.turned.Add(1) })
+		if err != nil {
+			return err
+		}
+		b.ln = append(b.ln, ln)
+	}
 	if err := b.listen(b.cfg.Listen, b.door.fastCGI); err != nil {
 		return err
 	}
@@ -222,6 +231,9 @@
 		b.link.askStrange()
 		b.lookAtTime()
 		b.decide()
+		for b.cluster.hand() {
+			b.decide()
+		}
 		b.keeper.hand()
 		b.lease.report(b)
 		if b.finished() {
@@ -278,6 +290,7 @@
 	b.link.lookAtTime()
 	b.tier.lookAtTime()
 	b.keeper.lookAtTime()
+	b.cluster.lookAtTime()
 	if b.now >= b.tidyAt {
 		b.tidyAt = b.now + tidyEvery
 		b.door.tidy()
@@ -321,9 +334,9 @@
 		if b.owes(r) {
 			owed++
 			invariant.Check(r.edge.open[r.slot] == r, "an owed req holds its slot")
-			invariant.Check(r.at != strange || slices.Contains(b.link.strange, r), "a strange req is asked for")
+			invariant.Check(r.at != strange || r.guard != nil || slices.Contains(b.link.strange, r), "a strange req is asked for")
 		} else {
-			invariant.Check(r.at >= noting, "what is kept without being owed runs")
+			invariant.Check(r.taken || r.at >= noting, "what is kept without being owed runs")
 		}
 		if r.call != nil {
 			calls++
--- /dev/null
+++ b/backend/cluster.go
@@ -0,0 +1,300 @@
+package backend
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"time"
+
+	"frosthub/account"
+	"frosthub/internal/boxwire"
+	"frosthub/internal/conn"
+	"frosthub/keep"
+	"frosthub/members"
+	"frosthub/overload"
+	"frosthub/takeover"
+)
+
+// Cluster is the boxes that take each other's guarded reqs over. The zero value is a box alone.
+type Cluster struct {
+	Name    string
+	Listen  string // where the others connect
+	Members []ClusterMember
+	Promise bool // what was held goes on although nobody asks for it again
+}
+
+// ClusterMember is one of them, this box among them.
+type ClusterMember struct {
+	takeover.Member
+	Address string
+}
+
+const (
+	boxTick    = 20 * time.Millisecond  // between looks at what others owe an answer to
+	boxRedial  = 200 * time.Millisecond // between tries to reach a box
+	boxOutMost = 4 << 20                // bytes that may wait for one that takes none; then the connection is closed
+	probeEvery = 100 * time.Millisecond // a death is suspected after a few of these
+	probeAnd   = 40 * time.Millisecond
+	sizeTaken  = 24.0 // kilobytes booked for a req that was taken over, where its box told none
+)
+
+// cluster is the core's side of members and takeover: it carries their messages, and does what they say.
+type cluster struct {
+	b     *Backend
+	list  *members.List
+	box   *takeover.Box // nil until the store is read
+	links map[string]*boxLink
+	life  uint64
+	next  time.Duration
+}
+
+// boxLink is the connection on which this box sends to another.
+type boxLink struct {
+	address string
+	c       *conn.Conn
+	dialing bool
+	dialAt  time.Duration
+	batch   boxwire.Batch // of this turn
+}
+
+var (
+	errStranger = errors.New("not of this cluster")
+	errHello    = errors.New("it does not say who it is")
+)
+
+func (c *cluster) on() bool { return c.b != nil }
+
+// init prepares a box of a cluster.
+func (c *cluster) init(b *Backend) {
+	if b.cfg.Cluster.Name == "" || !b.keeper.on() {
+		return
+	}
+	c.b, c.links = b, map[string]*boxLink{}
+	for _, m := range b.cfg.Cluster.Members {
+		if m.Name != b.cfg.Name {
+			c.links[m.Name] = &boxLink{address: m.Address}
+		}
+	}
+}
+
+// begin has the box take part, with the life that its store counts.
+func (c *cluster) begin(store *keep.Store) {
+	b := c.b
+	c.life = store.Stats().Life
+	var names []string
+	var all []takeover.Member
+	for _, m := range b.cfg.Cluster.Members {
+		names, all = append(names, m.Name), append(all, m.Member)
+	}
+	c.list = members.New(members.Config{Name: b.cfg.Name, Life: c.life, Others: names, Every: probeEvery, Within: probeAnd}, b.cfg.Seed, b.now)
+	c.box = takeover.New(takeover.Config{Name: b.cfg.Name, Life: c.life, Members: all, Promise: b.cfg.Cluster.Promise}, store, c, b.cfg.Seed^1,
+		b.keeper.now())
+	b.log.Info("cluster", "name", b.cfg.Cluster.Name, "life", c.life, "members", len(all))
+}
+
+// Alive and Life are what takeover is told of others. One that is only suspected is tried to be replaced: that harms nothing.
+func (c *cluster) Alive(name string) bool  { return c.list.Of(name).State == members.Alive }
+func (c *cluster) Life(name string) uint64 { return c.list.Of(name).Life }
+
+// take accepts the connection of another box.
+func (c *cluster) take(n *conn.Conn) {
+	b := c.b
+	from, life := "", uint64(0)
+	p := boxwire.NewParser(func(batch *boxwire.Batch) error {
+		if h := batch.Hello; h != nil && from == "" {
+			if h.Cluster != b.cfg.Cluster.Name || c.links[h.From] == nil {
+				return fmt.Errorf("%w: %s of %s", errStranger, h.From, h.Cluster)
+			}
+			from, life = h.From, h.Life
+		}
+		if from == "" {
+			return errHello
+		}
+		if c.box == nil {
+			return nil // not yet read: they ask again
+		}
+		if len(batch.Members) == 0 {
+			c.list.Heard(b.now, from, life)
+		}
+		for i := range batch.Members {
+			c.list.Receive(b.now, from, life, &batch.Members[i])
+		}
+		for i := range batch.Claims {
+			c.box.Receive(b.keeper.now(), from, life, &batch.Claims[i])
+		}
+		return nil
+	})
+	n.Data = b.noting("bad box", p.Feed)
+	n.Closed = func(error) {}
+}
+
+// lookAtTime does what is due.
+func (c *cluster) lookAtTime() {
+	if c.box == nil {
+		return
+	}
+	b := c.b
+	if b.now >= c.next {
+		c.next = b.now + boxTick
+		c.box.Tick(b.keeper.now())
+	}
+	b.at(c.next)
+	if b.now >= c.list.Next() {
+		c.list.Tick(b.now)
+	}
+	b.at(c.list.Next())
+}
+
+// hand carries out what members and takeover want, and tells whether anything was done.
+func (c *cluster) hand() (any bool) {
+	if c.box == nil {
+		return false
+	}
+	b := c.b
+	sends, changes := c.list.Take()
+	for _, s := range sends {
+		l := c.links[s.To]
+		l.batch.Members = append(l.batch.Members, s.Message)
+	}
+	for _, x := range changes {
+		b.log.Info("member", "name", x.Name, "life", x.Life, "state", x.State.String(), "was", x.Before.State.String())
+	}
+	for {
+		sends, out := c.box.Take()
+		if len(sends)+len(out) == 0 {
+			break
+		}
+		for _, s := range sends {
+			l := c.links[s.To]
+			l.batch.Claims = append(l.batch.Claims, s.Message)
+		}
+		for _, o := range out {
+			any = true
+			c.outcome(o)
+		}
+	}
+	for _, name := range b.cfg.Cluster.Members {
+		if l := c.links[name.Name]; l != nil {
+			c.flush(l)
+		}
+	}
+	return any
+}
+
+// flush writes a turn's batch to a box. What can't be sent is asked for again.
+func (c *cluster) flush(l *boxLink) {
+	if len(l.batch.Members)+len(l.batch.Claims) == 0 {
+		return
+	}
+	b := c.b
+	if l.c != nil {
+		l.c.Write(boxwire.Append(b.scratch[:0], &l.batch))
+	} else if !l.dialing && b.now >= l.dialAt {
+		l.dialing = true
+		b.box.Dial(l.address, func(n *conn.Conn, err error) {
+			l.dialing, l.dialAt = false, b.now+boxRedial
+			if err != nil {
+				return
+			}
+			l.c = n
+			n.Most = boxOutMost
+			n.Data = func([]byte) error { return nil }
+			n.Closed = func(error) {
+				if l.c == n {
+					l.c = nil
+				}
+			}
+			n.Write(boxwire.Append(nil, &boxwire.Batch{Hello: &boxwire.Hello{Cluster: b.cfg.Cluster.Name, From: b.cfg.Name, Life: c.life}}))
+		})
+	}
+	l.batch = boxwire.Batch{}
+}
+
+// ask has a guarded req's group asked, before the module hears of it.
+func (c *cluster) ask(r *req) {
+	g := r.guard
+	r.at = strange
+	c.box.Ask(c.b.keeper.now(), g.key, g.made, r.id, takeover.Work{Handler: c.b.handlers[r.h].name, Body: r.body,
+		Left: int64(g.due - c.b.now), Cost: int64(r.ev.Hint), Size: r.ev.Size, Rank: r.ev.Rank})
+}
+
+// admitted hands a req to the module, after its group was asked.
+func (c *cluster) admitted(r *req, known bool) {
+	r.at = held
+	r.ev.Unread += c.b.now - r.guard.asked
+	if known {
+		r.fore = cmp.Or(c.box.Forerunner(r.guard.key), 1)
+		if r.fore == r.id || c.b.reqs[r.fore] == nil {
+			r.fore = ^uint64(0) // another box's: the module knows nothing of it
+		}
+		r.ev.RepeatOf = r.fore
+	}
+	c.b.events = append(c.b.events, r.ev)
+}
+
+// taken has a req that another box held go to the module here; nobody waits for it on a connection.
+func (c *cluster) taken(o takeover.Outcome) {
+	b := c.b
+	h := -1
+	for i := range b.handlers {
+		if b.handlers[i].name == o.Work.Handler {
+			h = i
+		}
+	}
+	left := time.Duration(o.Work.Left)
+	if h < 0 || left <= 0 || b.ctl == nil || b.reqs[o.ID] != nil {
+		c.box.Leave(b.keeper.now(), o.Key, o.ID)
+		return
+	}
+	r := &req{id: o.ID, name: fmt.Sprintf("%016x", o.ID), h: h, body: o.Work.Body, at: held, taken: true, since: b.now,
+		guard: &guarded{key: o.Key, made: o.Made, due: b.now + left}}
+	r.ev = overload.Event{Kind: overload.Arrived, ID: r.id, Handler: h, Left: left, Hint: time.Duration(o.Work.Cost),
+		Size: cmp.Or(o.Work.Size, sizeTaken), Rank: o.Work.Rank, Unread: max(0, b.handlers[h].timeout-left)}
+	b.reqs[r.id] = r
+	b.count.Taken++
+	b.events = append(b.events, r.ev)
+}
+
+// outcome carries out what takeover says of a req.
+func (c *cluster) outcome(o takeover.Outcome) {
+	b := c.b
+	if o.Verdict == takeover.Taken {
+		c.taken(o)
+		return
+	}
+	r := b.reqs[o.ID]
+	if r == nil || r.guard == nil || r.guard.key != o.Key {
+		if o.Verdict == keep.Begin { // it was let go in the same moment: it never ran
+			c.box.End(b.keeper.now(), o.Key, o.ID, keep.Never, nil)
+		}
+		return
+	}
+	asking := r.at == strange
+	switch {
+	case o.Verdict == keep.Fresh && asking:
+		c.admitted(r, false)
+	case o.Verdict == keep.Known && asking:
+		c.admitted(r, true)
+	case o.Verdict == keep.Known: // it was held here until another took it: it waits for that one
+	case o.Verdict == takeover.Undecided && asking:
+		b.door.refused(r, account.Undecided, b.keeper.after)
+		b.answered(r)
+	case asking && o.Verdict == keep.Repeat:
+		b.keeper.reason(o.Verdict)
+		b.door.done(r, account.Repeated, o.Result)
+		b.answered(r)
+	case asking:
+		if why := b.keeper.reason(o.Verdict); why.Figure() == account.Refused {
+			b.door.refused(r, why, b.keeper.after)
+		} else {
+			b.door.errored(r, why)
+		}
+		b.answered(r)
+	case o.Verdict == keep.Begin && !b.wanted(r):
+		r.guard.kept = true
+		c.box.End(b.keeper.now(), o.Key, o.ID, keep.Never, nil)
+		b.ended(r, overload.Moot, account.NeverRan, 0, nil)
+	default:
+		b.keeper.outcome(o.Outcome)
+	}
+}
--- a/backend/config.go
+++ b/backend/config.go
@@ -31,6 +31,7 @@
 	AJP       AJP
 	NextAJP   NextAJP // instead of NextTier
 	Keep      Keep
+	Cluster   Cluster // needs Keep
 }
 
 // Limits are those of the process.
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -17,6 +17,7 @@
 	"frosthub/internal/keeplog"
 	"frosthub/keep"
 	"frosthub/overload"
+	"frosthub/takeover"
 )
 
 // Part is one thing that goes into the key of a guarded req. Its number goes there too.
@@ -91,11 +92,12 @@
 
 // guarded is what a req has that must not run twice.
 type guarded struct {
-	key  keep.Key
-	made time.Duration  // since 1970; 0 not told
-	due  time.Duration  // it is answered by then, whatever the disk does
-	why  account.Reason // of its answer, once its run has ended
-	kept bool           // its end was told to the store
+	key   keep.Key
+	made  time.Duration  // since 1970; 0 not told
+	due   time.Duration  // it is answered by then, whatever the disk does
+	asked time.Duration  // when the store, or the group, was asked
+	why   account.Reason // of its answer, once its run has ended
+	kept  bool           // its end was told to the store
 }
 
 // keeper is the core's side of the store: it asks it before a guarded req is taken and before it is begun, and carries out what it
@@ -257,6 +259,9 @@
 	k.log = keeplog.NewLog(o.log, b.cfg.Keep.Gather, gatherEnough, func(seq uint64, err error) {
 		b.box.Post(func() { k.durable(seq, err) })
 	})
+	if b.cluster.on() {
+		b.cluster.begin(k.store)
+	}
 	k.hand()
 	s := k.store.Stats()
 	k.stats.ReadingMS = (b.now - began).Milliseconds()
@@ -267,12 +272,21 @@
 // durable follows the disk's word.
 func (k *keeper) durable(seq uint64, err error) {
 	if err == nil {
-		k.heed(k.store.Durable(seq))
+		if k.b.cluster.on() {
+			k.b.cluster.box.Durable(k.now(), seq)
+		} else {
+			k.heed(k.store.Durable(seq))
+		}
 		return
 	}
 	k.broken = true
+	if k.b.cluster.on() {
+		k.b.cluster.box.Failed(k.now())
+	}
 	k.b.log.Error("keep", "dir", k.b.cfg.Keep.Dir, "why", err, "so", "guarded reqs are refused in this life, but for repeats")
-	k.heed(k.store.DiskFailed())
+	if !k.b.cluster.on() {
+		k.heed(k.store.DiskFailed())
+	}
 }
 
 // named tells whether a req has what its key needs.
@@ -315,6 +329,9 @@
 	r.guard.due = b.now - r.ev.Unread + b.handlers[r.h].timeout - answerBefore
 	var verdict keep.Verdict
 	switch {
+	case k.store != nil && !k.broken && b.cluster.on():
+		b.cluster.ask(r)
+		return false
 	case k.store != nil:
 		verdict = k.store.Look(k.now(), r.guard.made, r.guard.key)
 	case k.broken:
@@ -367,6 +384,8 @@
 		return account.KeepFull
 	case keep.Fresh:
 		return account.ComeAgain
+	case takeover.Undecided:
+		return account.Undecided
 	}
 	return account.Unprotected
 }
@@ -374,6 +393,10 @@
 // note has a req that the module wants run wait for its intent.
 func (k *keeper) note(r *req) {
 	r.at = noting
+	if k.b.cluster.on() {
+		k.b.cluster.box.Begin(k.now(), r.guard.key, r.id)
+		return
+	}
 	if o := k.store.Arrive(k.now(), r.guard.made, r.guard.key, r.id); o.Verdict != keep.Wait {
 		k.outcome(o)
 	}
@@ -381,6 +404,11 @@
 
 // join has a repeat meet its forerunner.
 func (k *keeper) join(r *req) {
+	if k.b.cluster.on() {
+		r.at = joined
+		k.b.cluster.box.Join(k.now(), r.guard.key, r.id)
+		return
+	}
 	if k.store.Look(k.now(), r.guard.made, r.guard.key) != keep.Known { // proved never to have run since the module was told
 		k.outcome(keep.Outcome{ID: r.id, Verdict: keep.Fresh})
 		return
@@ -393,7 +421,11 @@
 
 // leave follows a req that no longer waits and never ran.
 func (k *keeper) leave(r *req) {
-	if r.guard != nil && k.store != nil && r.at >= joined {
+	switch {
+	case r.guard == nil || k.store == nil:
+	case k.b.cluster.on():
+		k.b.cluster.box.Leave(k.now(), r.guard.key, r.id)
+	case r.at >= joined:
 		k.store.Withdraw(k.now(), r.guard.key, r.id)
 	}
 }
@@ -408,13 +440,13 @@
 func (k *keeper) outcome(o keep.Outcome) {
 	b := k.b
 	r := b.reqs[o.ID]
-	if r == nil || r.guard == nil {
+	if r == nil || r.guard == nil || r.guard.kept && r.at != writing {
 		invariant.Check(o.Verdict != keep.Begin, "what is to be begun is there")
 		return
 	}
 	switch o.Verdict {
 	case keep.Begin:
-		if !b.owes(r) || r.at != noting { // nobody waits and it never ran, or the module has it joined
+		if !b.wanted(r) || r.at != noting { // nobody waits and it never ran, or the module has it joined
 			why := account.NeverRan
 			if r.at == joined {
 				why = account.ComeAgain
@@ -459,7 +491,7 @@
 	}
 	g.kept = true
 	if r.at == noting {
-		k.store.Withdraw(k.now(), g.key, r.id)
+		k.leave(r)
 		return false
 	}
 	kind := map[overload.Outcome]keep.Kind{overload.OK: keep.Result, overload.Moot: keep.Never}[how]
@@ -470,7 +502,11 @@
 		g.why, r.at = why, writing
 		k.writing[r] = struct{}{}
 	}
-	k.heed(k.store.Ended(k.now(), g.key, kind, body))
+	if k.b.cluster.on() {
+		k.b.cluster.box.End(k.now(), g.key, r.id, kind, body)
+	} else {
+		k.heed(k.store.Ended(k.now(), g.key, kind, body))
+	}
 	return kind == keep.Result
 }
 
@@ -490,7 +526,9 @@
 			b.door.errored(r, account.NotWritten)
 			b.answered(r)
 		}
-		delete(k.writing, r)
+		if delete(k.writing, r); b.cluster.on() { // too few of its group may ever answer
+			delete(b.reqs, r.id)
+		}
 	}
 }
 
--- a/backend/link.go
+++ b/backend/link.go
@@ -327,7 +327,7 @@
 	r.ask = append(r.ask[:0], body...)
 	r.at = asking
 	l.b.count.Asked++
-	if !l.b.owes(r) {
+	if !l.b.wanted(r) {
 		l.b.endRun(r)
 	}
 	l.b.events = append(l.b.events, overload.Event{Kind: overload.NeedsCall, ID: r.id})
@@ -395,7 +395,7 @@
 		doubt := r.mark >= acked
 		switch {
 		case r.at < running:
-		case !r.sent && !b.owes(r):
+		case !r.sent && !b.wanted(r):
 			b.ended(r, overload.Moot, account.NeverRan, 0, nil)
 		case !r.sent:
 			l.begin(r)
--- a/backend/req.go
+++ b/backend/req.go
@@ -53,6 +53,7 @@
 	unknown uint64         // the question for gauges whose answer proves that it is known if it is not rejected
 
 	guard *guarded // nil where it may run twice
+	taken bool     // over from another box: nobody waits for it on a connection
 
 	of    subject
 	fore  uint64 // the remembered req that it repeats
@@ -61,6 +62,9 @@
 
 func (b *Backend) owes(r *req) bool { return r.edge != nil }
 
+// wanted tells whether anybody waits for a req, here or elsewhere.
+func (b *Backend) wanted(r *req) bool { return b.owes(r) || r.taken }
+
 // act carries out one action of the module.
 func (b *Backend) act(a *overload.Action) {
 	switch a.Kind {
@@ -87,7 +91,7 @@
 	}
 	switch a.Kind {
 	case overload.Run:
-		if !invariant.Check(r.at == held && b.owes(r), "what is run is held") {
+		if !invariant.Check(r.at == held && b.wanted(r), "what is run is held") {
 			return
 		}
 		if r.guard != nil {
@@ -104,6 +108,10 @@
 			b.ended(r, overload.Moot, account.NeverRan, 0, nil)
 		}
 	case overload.Shed:
+		if r.taken {
+			b.unowed(r)
+			return
+		}
 		if invariant.Check(r.at == held, "what is shed never ran") {
 			b.door.shed(r, a.RetryAfter, a.DontRetry)
 		} else {
@@ -118,6 +126,8 @@
 			}
 			b.door.errored(r, why)
 			b.answered(r)
+		} else if r.taken && r.at < noting {
+			b.unowed(r)
 		} else if r.at >= asking {
 			b.endRun(r) // nobody waits, but the run does
 		}
@@ -125,7 +135,7 @@
 		b.keys.remember(r, a.For)
 	case overload.Join:
 		switch {
-		case !invariant.Check(r.at == held && b.owes(r) && r.fore != 0, "what joins is a held repeat"):
+		case !invariant.Check(r.at == held && b.wanted(r) && r.fore != 0, "what joins is a held repeat"):
 		case r.guard != nil:
 			b.keeper.join(r)
 		default:
@@ -145,6 +155,7 @@
 	r.at = held
 	r.ev.Unread += b.now - r.since
 	if r.guard != nil {
+		r.guard.asked = b.now
 		if !b.keeper.admit(r) {
 			return
 		}
--- /dev/null
+++ b/internal/boxwire/boxwire.go
@@ -0,0 +1,300 @@
+// Package boxwire has the messages that boxes of a cluster send each other as bytes, by the schema in boxes.proto, and back.
+package boxwire
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"frosthub/keep"
+	"frosthub/members"
+	"frosthub/takeover"
+)
+
+// FrameMost is how many bytes of a frame are taken.
+const FrameMost = 8 << 20
+
+// Errors of what a peer sends.
+var (
+	ErrFrame = errors.New("a frame that can't be read")
+	ErrLarge = errors.New("a frame that is too large")
+)
+
+// Hello says who sends.
+type Hello struct {
+	Cluster, From string
+	Life          uint64
+}
+
+// Batch is what one frame carries.
+type Batch struct {
+	Hello   *Hello
+	Members []members.Message
+	Claims  []takeover.Message
+}
+
+func uintField(b []byte, n protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	return protowire.AppendVarint(protowire.AppendTag(b, n, protowire.VarintType), v)
+}
+
+func bytesField[T ~string | ~[]byte](b []byte, n protowire.Number, v T) []byte {
+	if len(v) == 0 {
+		return b
+	}
+	return append(protowire.AppendVarint(protowire.AppendTag(b, n, protowire.BytesType), uint64(len(v))), v...)
+}
+
+// Append appends a frame.
+func Append(b []byte, batch *Batch) []byte {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0)
+	if h := batch.Hello; h != nil {
+		b = bytesField(b, 1, uintField(bytesField(bytesField(nil, 1, h.Cluster), 2, h.From), 3, h.Life))
+	}
+	var room [512]byte
+	for i := range batch.Members {
+		b = bytesField(b, 2, appendMember(room[:0], &batch.Members[i]))
+	}
+	for i := range batch.Claims {
+		b = bytesField(b, 3, appendClaim(room[:0], &batch.Claims[i]))
+	}
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
+	return b
+}
+
+func appendMember(b []byte, m *members.Message) []byte {
+	b = bytesField(uintField(uintField(b, 1, uint64(m.Kind)), 2, m.Number), 3, m.For)
+	for _, u := range m.Updates {
+		b = bytesField(b, 4, uintField(uintField(uintField(bytesField(nil, 1, u.Name), 2, u.Life), 3, u.Incarnation), 4, uint64(u.State)))
+	}
+	return b
+}
+
+func ballot(v takeover.Ballot) []byte {
+	return uintField(bytesField(uintField(nil, 1, v.N), 2, v.Box), 3, v.Life)
+}
+
+func appendClaim(b []byte, m *takeover.Message) []byte {
+	b = bytesField(uintField(b, 1, uint64(m.Kind)), 2, m.Key[:])
+	b = bytesField(b, 3, ballot(m.Ballot))
+	if m.Force {
+		b = uintField(b, 4, 1)
+	}
+	b = uintField(uintField(b, 5, uint64(m.Made)), 6, uint64(m.Vote))
+	b = bytesField(b, 7, ballot(m.By))
+	b = bytesField(uintField(b, 8, uint64(m.End)), 9, m.Result)
+	if w := m.Work; w != nil {
+		x := bytesField(bytesField(nil, 1, w.Handler), 2, w.Body)
+		x = uintField(uintField(x, 3, uint64(w.Left)), 4, uint64(w.Cost))
+		x = protowire.AppendFixed64(protowire.AppendTag(x, 5, protowire.Fixed64Type), math.Float64bits(w.Size))
+		x = protowire.AppendFixed64(protowire.AppendTag(x, 6, protowire.Fixed64Type), math.Float64bits(w.Rank))
+		b = bytesField(b, 10, x)
+	}
+	return b
+}
+
+// fields calls f for each field; those of a kind that f has no use for are skipped.
+func fields(b []byte, f func(n protowire.Number, v uint64, p []byte) error) error {
+	for len(b) > 0 {
+		n, kind, size := protowire.ConsumeTag(b)
+		if size < 0 {
+			return ErrFrame
+		}
+		b = b[size:]
+		var v uint64
+		var p []byte
+		switch kind {
+		case protowire.VarintType:
+			v, size = protowire.ConsumeVarint(b)
+		case protowire.Fixed64Type:
+			v, size = protowire.ConsumeFixed64(b)
+		case protowire.BytesType:
+			p, size = protowire.ConsumeBytes(b)
+		default:
+			size = protowire.ConsumeFieldValue(n, kind, b)
+		}
+		if size < 0 {
+			return ErrFrame
+		}
+		b = b[size:]
+		if err := f(n, v, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Parser cuts frames out of what is read.
+type Parser struct {
+	buf  []byte
+	each func(*Batch) error
+}
+
+// NewParser hands each batch to a function, which may end the reading by an error.
+func NewParser(each func(*Batch) error) *Parser { return &Parser{each: each} }
+
+// Held is how many bytes of a frame are not whole.
+func (p *Parser) Held() int { return len(p.buf) }
+
+// Feed takes what was read.
+func (p *Parser) Feed(b []byte) error {
+	p.buf = append(p.buf, b...)
+	for len(p.buf) >= 4 {
+		n := int(binary.BigEndian.Uint32(p.buf))
+		if n > FrameMost {
+			return ErrLarge
+		}
+		if len(p.buf) < 4+n {
+			return nil
+		}
+		batch, err := Parse(p.buf[4 : 4+n])
+		if err == nil {
+			err = p.each(batch)
+		}
+		if err != nil {
+			return err
+		}
+		p.buf = p.buf[4+n:]
+	}
+	if len(p.buf) == 0 {
+		p.buf = nil
+	}
+	return nil
+}
+
+// Parse reads a batch. What it returns shares nothing with b.
+func Parse(b []byte) (*Batch, error) {
+	batch := &Batch{}
+	err := fields(b, func(n protowire.Number, _ uint64, p []byte) error {
+		switch n {
+		case 1:
+			h := &Hello{}
+			batch.Hello = h
+			return fields(p, func(n protowire.Number, v uint64, p []byte) error {
+				switch n {
+				case 1:
+					h.Cluster = string(p)
+				case 2:
+					h.From = string(p)
+				case 3:
+					h.Life = v
+				}
+				return nil
+			})
+		case 2:
+			m, err := parseMember(p)
+			batch.Members = append(batch.Members, m)
+			return err
+		case 3:
+			m, err := parseClaim(p)
+			batch.Claims = append(batch.Claims, m)
+			return err
+		}
+		return nil
+	})
+	return batch, err
+}
+
+func parseMember(b []byte) (m members.Message, err error) {
+	err = fields(b, func(n protowire.Number, v uint64, p []byte) error {
+		switch n {
+		case 1:
+			m.Kind = members.Kind(v)
+		case 2:
+			m.Number = v
+		case 3:
+			m.For = string(p)
+		case 4:
+			var u members.Update
+			if err := fields(p, func(n protowire.Number, v uint64, p []byte) error {
+				switch n {
+				case 1:
+					u.Name = string(p)
+				case 2:
+					u.Life = v
+				case 3:
+					u.Incarnation = v
+				case 4:
+					u.State = members.State(min(v, uint64(members.Left)))
+				}
+				return nil
+			}); err != nil {
+				return err
+			}
+			m.Updates = append(m.Updates, u)
+		}
+		return nil
+	})
+	return m, err
+}
+
+func parseBallot(b []byte) (out takeover.Ballot, err error) {
+	err = fields(b, func(n protowire.Number, v uint64, p []byte) error {
+		switch n {
+		case 1:
+			out.N = v
+		case 2:
+			out.Box = string(p)
+		case 3:
+			out.Life = v
+		}
+		return nil
+	})
+	return out, err
+}
+
+func parseClaim(b []byte) (m takeover.Message, err error) {
+	err = fields(b, func(n protowire.Number, v uint64, p []byte) (err error) {
+		switch n {
+		case 1:
+			m.Kind = takeover.Kind(v)
+		case 2:
+			if len(p) != len(m.Key) {
+				return ErrFrame
+			}
+			m.Key = keep.Key(p)
+		case 3:
+			m.Ballot, err = parseBallot(p)
+		case 4:
+			m.Force = v == 1
+		case 5:
+			m.Made = time.Duration(v)
+		case 6:
+			m.Vote = takeover.Vote(v)
+		case 7:
+			m.By, err = parseBallot(p)
+		case 8:
+			m.End = keep.Kind(v)
+		case 9:
+			m.Result = append([]byte(nil), p...)
+		case 10:
+			w := &takeover.Work{}
+			m.Work = w
+			err = fields(p, func(n protowire.Number, v uint64, p []byte) error {
+				switch n {
+				case 1:
+					w.Handler = string(p)
+				case 2:
+					w.Body = append([]byte(nil), p...)
+				case 3:
+					w.Left = int64(v)
+				case 4:
+					w.Cost = int64(v)
+				case 5:
+					w.Size = math.Float64frombits(v)
+				case 6:
+					w.Rank = math.Float64frombits(v)
+				}
+				return nil
+			})
+		}
+		return err
+	})
+	return m, err
+}
--- /dev/null
+++ b/internal/boxwire/boxwire_test.go
@@ -0,0 +1,56 @@
+package boxwire
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"frosthub/keep"
+	"frosthub/members"
+	"frosthub/takeover"
+)
+
+var whole = Batch{Hello: &Hello{"north", "n1", 3},
+	Members: []members.Message{{Kind: members.Ping, Number: 7, For: "n2", Updates: []members.Update{{Name: "n3", Life: 2, Incarnation: 5, State: members.Dead}}}},
+	Claims: []takeover.Message{{Kind: takeover.Open, Key: keep.Key{1, 2, 15: 9}, Ballot: takeover.Ballot{N: 8, Box: "n1", Life: 3}, Force: true, Made: 5,
+		Vote: takeover.Running, By: takeover.Ballot{N: 4, Box: "n2", Life: 1}, End: keep.Result, Result: []byte("filed"),
+		Work: &takeover.Work{Handler: "file-claim", Body: []byte("hail"), Left: 9, Cost: 4, Size: 24.5, Rank: 0.625}}, {}}}
+
+// TestRound: what is written is read, however it is cut.
+func TestRound(t *testing.T) {
+	text := append(Append(nil, &whole), Append(nil, &Batch{})...)
+	for cut := range len(text) {
+		var got []*Batch
+		p := NewParser(func(b *Batch) error { got = append(got, b); return nil })
+		if err := p.Feed(text[:cut]); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Feed(text[cut:]); err != nil || p.Held() != 0 || len(got) != 2 {
+			t.Fatal(cut, err, len(got))
+		}
+		if diff := cmp.Diff(&whole, got[0]); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+	if err := NewParser(func(*Batch) error { return nil }).Feed([]byte{255, 0, 0, 0}); err != ErrLarge {
+		t.Error(err)
+	}
+}
+
+// FuzzParser: whatever comes is read or refused, and what was read is written as the same.
+func FuzzParser(f *testing.F) {
+	f.Add(Append(nil, &whole)[4:])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		batch, err := Parse(b)
+		if err != nil {
+			return
+		}
+		again, err := Parse(Append(nil, batch)[4:])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(again.Claims) != len(batch.Claims) || len(again.Members) != len(batch.Members) {
+			t.Error("another batch")
+		}
+	})
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -59,7 +59,7 @@
 				return err
 			}
 		}
-		c.Figures, c.AJP, c.NextAJP, c.Keep = op.Figures, op.AJP, op.NextAJP, op.Keep
+		c.Figures, c.AJP, c.NextAJP, c.Keep, c.Cluster = op.Figures, op.AJP, op.NextAJP, op.Keep, op.Cluster
 		return nil
 	}
 	return backend.Main(set, func(b *backend.Backend) (func(), error) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,6 +23,7 @@
 	AJP     backend.AJP
 	NextAJP backend.NextAJP
 	Keep    backend.Keep
+	Cluster backend.Cluster
 }
 
 // Error is what is wrong at a place of a file.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -35,7 +35,7 @@
 	}
 	for text, want := range map[string]string{
 		"figures":                                       `x.conf:1:1: unknown directive "figures", expected one of: figures file, figures trail, figures periods, figures customers, figures customer-field`,
-		"\n\n  fig file /x":                             `x.conf:3:3: unknown directive "fig file", expected one of: admin listen, ajp listen, ajp secret file, ajp packet, next-tier ajp, next-tier secret file, route eject, route trial, route floor, route budget, keep dir, keep handler, keep key-field, keep made-field, keep entries, keep bytes, keep result, keep lifetime, keep horizon, keep gather, figures file, figures trail, figures periods, figures customers, figures customer-field`,
+		"\n\n  fig file /x":                             `x.conf:3:3: unknown directive "fig file", expected one of: admin listen, ajp listen, ajp secret file, ajp packet, next-tier ajp, next-tier secret file, route eject, route trial, route floor, route budget, keep dir, keep handler, keep key-field, keep made-field, keep entries, keep bytes, keep result, keep lifetime, keep horizon, keep gather, cluster name, cluster listen, cluster member, cluster promise, figures file, figures trail, figures periods, figures customers, figures customer-field`,
 		"figures file":                                  `x.conf:1:13: "figures file" lacks its path, expected an absolute path on a disk of this machine`,
 		"figures file x":                                `x.conf:1:14: path "x": no absolute path, expected an absolute path on a disk of this machine`,
 		"figures file /x /y":                            `x.conf:1:17: "/y" is too much for "figures file", expected the end of the line`,
@@ -86,7 +86,9 @@
 		line = strings.ReplaceAll(line, "/etc/frosthub/ajp.secret", "/proc/sys/kernel/ostype") // any file of one line
 		if len(line) > 2 && line[0] == '#' && line[1] != ' ' {
 			on += line[1:] + "\n"
-			n++
+			if !strings.HasPrefix(line, "#cluster member n2") && !strings.HasPrefix(line, "#cluster member n3") { // it may stand again
+				n++
+			}
 		}
 	}
 	if c, err := Parse(path, on); err != nil || cmp.Equal(c, Config{}) || n != len(Directives) {
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -15,6 +15,7 @@
 	"frosthub/backend"
 	"frosthub/internal/figures"
 	"frosthub/route"
+	"frosthub/takeover"
 )
 
 // Directive is one that may stand in the file.
@@ -246,6 +247,59 @@
 			c.Keep.Gather, err = span(v, time.Microsecond, 100*time.Millisecond)
 			return err
 		}}}},
+	{Name: "cluster name", Needs: "keep dir", Help: "guarded reqs are held by groups of boxes of this cluster, and taken over from lost ones",
+		Check: func(c *Config) (string, string) {
+			if c.Cluster.Listen == "" || len(c.Cluster.Members) < 3 {
+				return "says nothing alone", "also \"cluster listen\", and \"cluster member\" three times at least"
+			}
+			return "", ""
+		},
+		Args: []Arg{{Name: "name", Kind: "a name, the same for all boxes", Set: func(c *Config, v string) error {
+			c.Cluster.Name = v
+			return shortName(v)
+		}}}},
+	{Name: "cluster listen", Needs: "cluster name", Help: "where the other boxes of the cluster connect",
+		Args: []Arg{{Name: "address", Kind: "an address and a port, as 127.0.0.1:9700", Set: func(c *Config, v string) error {
+			c.Cluster.Listen = v
+			return listens(v, "no address", func(net.IP) bool { return true })
+		}}}},
+	{Name: "cluster member", Many: true, Needs: "cluster name", Help: "a box of the cluster, this one too; the same lines for all boxes",
+		Args: []Arg{
+			{Name: "name", Kind: "a box's name, as in its platform's configuration", Set: func(c *Config, v string) error {
+				for _, m := range c.Cluster.Members {
+					if m.Name == v {
+						return errors.New("it is there already")
+					}
+				}
+				c.Cluster.Members = append(c.Cluster.Members, backend.ClusterMember{Member: takeover.Member{Name: v}})
+				return shortName(v)
+			}},
+			{Name: "address", Kind: "an address and a port, as 127.0.0.1:9700", Set: func(c *Config, v string) error {
+				c.lastMember().Address = v
+				if _, _, err := net.SplitHostPort(v); err != nil {
+					return errors.New("no address with a port")
+				}
+				return nil
+			}}},
+		Options: []Arg{
+			{Name: "zone", Kind: "the name of a zone", Set: func(c *Config, v string) error {
+				c.lastMember().Zone = v
+				return shortName(v)
+			}},
+			{Name: "weight", Kind: "a number from 1 to 1000", Set: func(c *Config, v string) error {
+				n, err := whole(v, 1, 1000)
+				c.lastMember().Weight = float64(n)
+				return err
+			}},
+		}},
+	{Name: "cluster promise", Needs: "cluster name", Help: "whether what a lost box held goes on although nobody asks for it again",
+		Args: []Arg{{Name: "word", Kind: "yes or no", Set: func(c *Config, v string) error {
+			if v != "yes" && v != "no" {
+				return errors.New("neither yes nor no")
+			}
+			c.Cluster.Promise = v == "yes"
+			return nil
+		}}}},
 	{Name: "figures file", Help: "record the figures there, so that they outlive the process",
 		Args: []Arg{{Name: "path", Kind: "an absolute path on a disk of this machine", Set: func(c *Config, v string) error {
 			if !filepath.IsAbs(v) {
@@ -290,6 +344,17 @@
 
 var header = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9-]*$`)
 
+func (c *Config) lastMember() *backend.ClusterMember {
+	return &c.Cluster.Members[len(c.Cluster.Members)-1]
+}
+
+func shortName(v string) error {
+	if v == "" || len(v) > headerMost {
+		return errors.New("no name")
+	}
+	return nil
+}
+
 func headerName(v string) error {
 	if len(v) > headerMost || !header.MatchString(v) {
 		return errors.New("no name of a header")
--- a/internal/stand/box.go
+++ b/internal/stand/box.go
@@ -20,6 +20,7 @@
 // Box is the process of one backend, in a folder of its own.
 type Box struct {
 	Binary, Dir string
+	Name        string // n1 if empty
 	Listen      string
 	Processor   string
 	NextTier    string
@@ -79,7 +80,7 @@
 	if cores == 0 {
 		cores = 1
 	}
-	return json.Marshal(m{"name": "n1", "listen": b.Listen, "processor": b.Processor, "backend": b.NextTier,
+	return json.Marshal(m{"name": cmp.Or(b.Name, "n1"), "listen": b.Listen, "processor": b.Processor, "backend": b.NextTier,
 		"seed": "8c1f30d27a5be964", "stop_ms": b.StopMS, "limits": m{"cores": cores, "memory_mb": 192, "sockets": cmp.Or(b.Sockets, 1024)},
 		"settings": settings})
 }
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -1028,7 +1028,7 @@
 		c.ids = append([]uint64{c.first}, c.ids...)
 	}
 	b.ids++
-	c.work, c.due, c.first, c.taken, c.told, c.tries = n.work, n.due, takenID|b.ids, true, false, 0
+	c.work, c.due, c.first, c.taken, c.told, c.tries = n.work, n.due, takenID|b.cfg.Life<<40|b.ids, true, false, 0
 	b.open(c, true)
 }
 
