A leaving box hands over what it has not run; a command shows the cluster

Need: a drain shed what it could not run in its grace, and operators could not see who is believed to be where. Change: what the module sheds while the box leaves goes to another box of its group, and its caller hears that one's result here, within the stop. /cluster and frosthub cluster show members and what is held, noted and taken over.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -370,6 +370,7 @@
 // leave tells the module of the notice.
 func (b *Backend) leave() {
 	b.leaving, b.stopAt = true, b.now+b.cfg.Stop
+	b.cluster.leave()
 	b.log.Info("leaving", "within", b.cfg.Stop, "owed", b.owed)
 	b.events = append(b.events, overload.Event{Kind: overload.Leave, Left: b.cfg.Stop - leaveBefore})
 }
--- a/backend/cluster.go
+++ b/backend/cluster.go
@@ -232,6 +232,58 @@
 	c.b.events = append(c.b.events, r.ev)
 }
 
+// handsOver has another box take over what this one leaves unrun, and tells whether one does. Its caller hears that one's result here,
+// within the stop.
+func (c *cluster) handsOver(r *req) bool {
+	if c.box == nil || r.guard == nil || r.at != held || !c.box.Hands(c.b.keeper.now(), r.guard.key, r.id) {
+		return false
+	}
+	c.b.count.Handed++
+	r.at = writing
+	c.b.keeper.writing[r] = struct{}{}
+	return true
+}
+
+// ClusterStats tell how a box sees its cluster, and what it has to do with the others.
+type ClusterStats struct {
+	Name    string         `json:"name"`
+	Life    uint64         `json:"life"`
+	Unwell  int            `json:"unwell"` // how slow this box takes itself to be, 0 to 8
+	Members []MemberStats  `json:"members"`
+	Work    takeover.Stats `json:"work"`
+}
+
+// MemberStats are what is believed of a box.
+type MemberStats struct {
+	Name  string `json:"name"`
+	Life  uint64 `json:"life"`
+	State string `json:"state"`
+}
+
+// ClusterStats gives them, while Serve runs and after it; nil without a cluster, or before the store is read.
+func (b *Backend) ClusterStats() *ClusterStats {
+	var out *ClusterStats
+	b.ask(func() {
+		c := &b.cluster
+		if c.box == nil {
+			return
+		}
+		out = &ClusterStats{Name: b.cfg.Cluster.Name, Life: c.life, Unwell: c.list.Unwell(), Work: c.box.Stats()}
+		for _, m := range c.list.All() {
+			out.Members = append(out.Members, MemberStats{m.Name, m.Life, m.State.String()})
+		}
+	})
+	return out
+}
+
+// leave has the others know, and takes nothing over any more.
+func (c *cluster) leave() {
+	if c.box != nil {
+		c.box.Leaving()
+		c.list.Leave()
+	}
+}
+
 // taken has a req that another box held go to the module here; nobody waits for it on a connection.
 func (c *cluster) taken(o takeover.Outcome) {
 	b := c.b
--- a/backend/counters.go
+++ b/backend/counters.go
@@ -11,7 +11,7 @@
 type Counters struct {
 	Conns, ConnsRefused, ConnsClosed, ConnsTrimmed int64
 	Checks, BadReqs, BadConns                      int64
-	Begun, Stopped, Ended, Asked, Taken            int64
+	Begun, Stopped, Ended, Asked, Taken, Handed    int64
 	Calls, CallsOK, CallsFailed                    int64
 	Links, LinksLost, Rejects, Remarks, Repeated   int64
 	Reports, Batches, Events, GaugesLate, Reloads  int64
@@ -29,7 +29,7 @@
 			c.ConnsTrimmed, "bad", c.BadConns, "open", c.Open),
 		slog.Group("reqs", "taken", c.Reqs.Taken, "served", c.Reqs.Served, "refused", c.Reqs.Refused, "failed",
 			c.Reqs.Failed, "open", c.Reqs.Open, "differs", c.Differs, "owed", c.Owed, "bad", c.BadReqs, "checks", c.Checks),
-		slog.Group("runs", "begun", c.Begun, "stopped", c.Stopped, "ended", c.Ended, "repeated", c.Repeated, "taken", c.Taken),
+		slog.Group("runs", "begun", c.Begun, "stopped", c.Stopped, "ended", c.Ended, "repeated", c.Repeated, "taken", c.Taken, "handed", c.Handed),
 		slog.Group("calls", "asked", c.Asked, "made", c.Calls, "ok", c.CallsOK, "failed", c.CallsFailed),
 		slog.Group("link", "made", c.Links, "lost", c.LinksLost, "rejects", c.Rejects, "remarks", c.Remarks,
 			"gauges_late", c.GaugesLate),
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -444,6 +444,7 @@
 		invariant.Check(o.Verdict != keep.Begin, "what is to be begun is there")
 		return
 	}
+	delete(k.writing, r)
 	switch o.Verdict {
 	case keep.Begin:
 		if !b.wanted(r) || r.at != noting { // nobody waits and it never ran, or the module has it joined
@@ -459,7 +460,6 @@
 		}
 		b.begin(r)
 	case keep.Done:
-		delete(k.writing, r)
 		delete(b.reqs, r.id)
 		if b.owes(r) {
 			b.door.done(r, r.guard.why, o.Result)
--- a/backend/req.go
+++ b/backend/req.go
@@ -112,6 +112,9 @@
 			b.unowed(r)
 			return
 		}
+		if b.leaving && b.cluster.handsOver(r) {
+			return
+		}
 		if invariant.Check(r.at == held, "what is shed never ran") {
 			b.door.shed(r, a.RetryAfter, a.DontRetry)
 		} else {
--- a/cmd/frosthub/takeover_test.go
+++ b/cmd/frosthub/takeover_test.go
@@ -242,3 +242,42 @@
 		f.end()
 	}
 }
+
+// TestRolled has all boxes of a cluster replaced one after the other under load: what each leaves unrun another takes over, and its caller
+// hears the result from the box that leaves.
+func TestRolled(t *testing.T) {
+	f := newFleetRig(t, 3, 25*time.Millisecond, true)
+	defer f.end()
+	load := &stand.Claims{Handler: "file-claim", Callers: 60, Repeats: 1, Pause: 5 * time.Millisecond, Patient: 3 * time.Second, CostMS: 25}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		load.Run(ctx, 5, func(n uint64) stand.Asker { return f.fc[n>>40%3] })
+	}()
+	handed := 0
+	for _, b := range f.boxes {
+		time.Sleep(400 * time.Millisecond)
+		if err := b.Drain(); err != nil {
+			t.Fatal(err)
+		}
+		_, rest, _ := strings.Cut(b.Log(), "counters.runs.handed=")
+		n := 0
+		_, _ = fmt.Sscanf(rest, "%d", &n)
+		handed += n
+		if err := b.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	stop()
+	<-done
+	sums, wrong := load.Judge(f.effects())
+	for _, w := range wrong {
+		t.Error(w)
+	}
+	t.Logf("%+v; handed over %d", sums, handed)
+	if sums.Served < 200 || handed == 0 {
+		t.Error("too little was asked, or nothing was handed over")
+	}
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -25,13 +25,15 @@
 	pathQuery = "/metrics"
 	pathJSON  = "/figures"
 	pathKeep  = "/keep"
+	pathBoxes = "/cluster"
 )
 
 // Source has the figures.
 type Source interface {
 	Figures() account.Report
 	FiguresRecorded() bool
-	KeepStats() *backend.KeepStats // nil where nothing is kept
+	KeepStats() *backend.KeepStats       // nil where nothing is kept
+	ClusterStats() *backend.ClusterStats // nil without a cluster
 }
 
 // collector makes Prometheus' metrics of a source's figures.
@@ -137,6 +139,7 @@
 		})
 	}
 	asJSON(pathJSON, func() any { return of.Figures() })
+	asJSON(pathBoxes, func() any { return of.ClusterStats() })
 	asJSON(pathKeep, func() any { return of.KeepStats() })
 	s := &http.Server{Handler: mux, ReadTimeout: readFor, WriteTimeout: writeFor, IdleTimeout: idleFor, MaxHeaderBytes: headMost,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -213,8 +213,12 @@
 // source is a box that stands still.
 type source struct{ report account.Report }
 
-func (s source) Figures() account.Report       { return s.report }
-func (s source) FiguresRecorded() bool         { return true }
+func (s source) Figures() account.Report { return s.report }
+func (s source) FiguresRecorded() bool   { return true }
+func (s source) ClusterStats() *backend.ClusterStats {
+	return &backend.ClusterStats{Name: "north", Life: 2,
+		Members: []backend.MemberStats{{Name: "n1", Life: 2, State: "alive"}, {Name: "n2", Life: 7, State: "suspected"}}}
+}
 func (s source) KeepStats() *backend.KeepStats { return nil }
 
 // TestAdmin: what is served adds up as Prometheus reads it.
@@ -257,6 +261,14 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
+	out, _, err := run("-", "cluster", "--admin", address)
+	if want := "cluster north, life 2\n  member  life      state\n      n1     2      alive\n      n2     7  suspected\n" +
+		"holds 0, waits for 0 of others, notes 0 for others (0 begun); taken over 0, lost to others 0, joined 0, in doubt 0\n"; err != nil || out != want {
+		t.Error(out, err)
+	}
+	if _, _, err := run("-", "cluster"); err == nil {
+		t.Error("asked nobody")
+	}
 	if text := get("/figures"); !strings.Contains(text, `"taken":6`) {
 		t.Error(text)
 	}
