A req that was taken over is on an account of its own front

Need: what another box runs for a lost one was on nobody's account. Change: the front taken-over; opened when it is taken, closed when the group has its answer or the module gives it up.

--- a/account/reason.go
+++ b/account/reason.go
@@ -138,8 +138,9 @@
 const (
 	FastCGI Front = iota
 	AJP
+	TakenOver // from another box: nobody waits on a connection, the answer is for whoever asks again
 
-	fronts = 2
+	fronts = 3
 )
 
 // String is the front's word.
@@ -149,6 +150,8 @@
 		return "fastcgi"
 	case AJP:
 		return "ajp"
+	case TakenOver:
+		return "taken-over"
 	}
 	return "none"
 }
--- a/backend/cluster.go
+++ b/backend/cluster.go
@@ -239,6 +239,16 @@
 	c.b.events = append(c.b.events, r.ev)
 }
 
+// settled closes the account of a req that was taken over: its answer is the group's.
+func (c *cluster) settled(r *req, why account.Reason) {
+	if !r.taken || r.settled {
+		return
+	}
+	r.settled = true
+	c.b.book.Answer(c.b.wall, r.ticket, why)
+	c.b.book.Sent(c.b.wall, r.ticket)
+}
+
 // handsOver has another box take over what this one leaves unrun, and tells whether one does. Its caller hears that one's result here,
 // within the stop.
 func (c *cluster) handsOver(r *req) bool {
@@ -309,6 +319,7 @@
 		guard: &guarded{key: o.Key, made: o.Made, due: b.now + left}}
 	r.ev = overload.Event{Kind: overload.Arrived, ID: r.id, Handler: h, Left: left, Hint: time.Duration(o.Work.Cost),
 		Size: cmp.Or(o.Work.Size, sizeTaken), Rank: o.Work.Rank, Unread: max(0, b.handlers[h].timeout-left)}
+	r.ticket = b.book.Open(b.wall, r.id, b.rowOf(h), account.TakenOver, account.Name{})
 	b.reqs[r.id] = r
 	b.count.Taken++
 	b.events = append(b.events, r.ev)
--- a/backend/figures.go
+++ b/backend/figures.go
@@ -83,7 +83,7 @@
 func (b *Backend) compare() {
 	b.book.Compare(b.wall, func(have func(account.Ticket, uint64)) {
 		for _, r := range b.reqs { // a sum: the order does not matter
-			if b.owes(r) {
+			if b.owes(r) || r.taken && !r.settled {
 				have(r.ticket, r.id)
 			}
 		}
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -460,6 +460,7 @@
 		}
 		b.begin(r)
 	case keep.Done:
+		b.cluster.settled(r, r.guard.why)
 		delete(b.reqs, r.id)
 		if b.owes(r) {
 			b.door.done(r, r.guard.why, o.Result)
@@ -527,6 +528,7 @@
 			b.answered(r)
 		}
 		if delete(k.writing, r); b.cluster.on() { // too few of its group may ever answer
+			b.cluster.settled(r, account.NotWritten)
 			delete(b.reqs, r.id)
 		}
 	}
--- a/backend/req.go
+++ b/backend/req.go
@@ -52,8 +52,9 @@
 	since   time.Duration  // and when that was
 	unknown uint64         // the question for gauges whose answer proves that it is known if it is not rejected
 
-	guard *guarded // nil where it may run twice
-	taken bool     // over from another box: nobody waits for it on a connection
+	guard   *guarded // nil where it may run twice
+	taken   bool     // over from another box: nobody waits for it on a connection
+	settled bool     // taken over, and its account is closed
 
 	of    subject
 	fore  uint64 // the remembered req that it repeats
@@ -109,6 +110,7 @@
 		}
 	case overload.Shed:
 		if r.taken {
+			b.cluster.settled(r, account.Shed)
 			b.unowed(r)
 			return
 		}
@@ -130,6 +132,7 @@
 			b.door.errored(r, why)
 			b.answered(r)
 		} else if r.taken && r.at < noting {
+			b.cluster.settled(r, account.GivenUp)
 			b.unowed(r)
 		} else if r.at >= asking {
 			b.endRun(r) // nobody waits, but the run does
@@ -242,6 +245,7 @@
 		b.owed--
 		r.edge = nil
 	}
+	b.cluster.settled(r, why)
 	delete(b.reqs, r.id)
 	b.keys.ended(r, how, body)
 }
--- a/cmd/frosthub/takeover_test.go
+++ b/cmd/frosthub/takeover_test.go
@@ -57,7 +57,7 @@
 		if out, err := exec.Command(binary, "keep", "init", "--box", name, store).CombinedOutput(); err != nil {
 			t.Fatal(string(out))
 		}
-		conf := "keep dir " + store + "\nkeep handler file-claim by body\n"
+		conf := "figures file " + filepath.Join(dir, "figures") + "\nkeep dir " + store + "\nkeep handler file-claim by body\n"
 		var lines strings.Builder
 		f.links = append(f.links, nil)
 		for k, at := range listens {
@@ -197,6 +197,14 @@
 		_, _ = fmt.Sscanf(rest, "%d", &n)
 		taken += n
 	}
+	args := []string{"figures", "--by", "front"}
+	for _, b := range f.boxes {
+		args = append(args, filepath.Join(b.Dir, "figures"))
+	}
+	out, err := exec.Command(binary, args...).CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "taken-over") {
+		t.Error(err, string(out))
+	}
 	t.Logf("%v: %+v; taken over in the last lives %d", kinds, sums, taken)
 	if sums.Served < 15*(*faults) || sums.Cut == 0 {
 		t.Error("too little was asked to tell anything")
