--- a/internal/boxwire/boxwire.go
+++ b/internal/boxwire/boxwire.go
@@ -47,6 +47,11 @@
 	if len(v) == 0 {
 		return b
 	}
+	return part(b, n, v)
+}
+
+// part appends a field that stands also where it is empty, as each of a list does.
+func part[T ~string | ~[]byte](b []byte, n protowire.Number, v T) []byte {
 	return append(protowire.AppendVarint(protowire.AppendTag(b, n, protowire.BytesType), uint64(len(v))), v...)
 }
 
@@ -59,10 +64,10 @@
 	}
 	var room [512]byte
 	for i := range batch.Members {
-		b = bytesField(b, 2, appendMember(room[:0], &batch.Members[i]))
+		b = part(b, 2, appendMember(room[:0], &batch.Members[i]))
 	}
 	for i := range batch.Claims {
-		b = bytesField(b, 3, appendClaim(room[:0], &batch.Claims[i]))
+		b = part(b, 3, appendClaim(room[:0], &batch.Claims[i]))
 	}
 	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
 	return b
@@ -71,7 +76,7 @@
 func appendMember(b []byte, m *members.Message) []byte {
 	b = bytesField(uintField(uintField(b, 1, uint64(m.Kind)), 2, m.Number), 3, m.For)
 	for _, u := range m.Updates {
-		b = bytesField(b, 4, uintField(uintField(uintField(bytesField(nil, 1, u.Name), 2, u.Life), 3, u.Incarnation), 4, uint64(u.State)))
+		b = part(b, 4, uintField(uintField(uintField(bytesField(nil, 1, u.Name), 2, u.Life), 3, u.Incarnation), 4, uint64(u.State)))
 	}
 	return b
 }
