Read over once more: one way to begin a store's life, to decline a req, to listen

Cause: reading, cleaning, restarting and opening a store's log stood in five places, the number of the last record was worked out by each who commits, three places chose between refused and errored by the reason, the cluster had a listener of its own and a search for handlers, and its links wrote a frame for each round of decisions instead of one a turn. Change: keeplog.Start, Commit gives the number, door.declined, listen for all, handlerOf, cluster.send once a turn; dead code in keep and takeover goes.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -127,6 +127,11 @@
 	return b
 }
 
+// handlerOf is the handler of that name, -1 if there is none.
+func (b *Backend) handlerOf(name string) int {
+	return slices.IndexFunc(b.handlers, func(h handler) bool { return h.name == name })
+}
+
 // Log is where the backend logs.
 func (b *Backend) Log() *slog.Logger { return b.log }
 
@@ -192,17 +197,15 @@
 	b.keeper.open()
 	defer b.keeper.close()
 	if b.cluster.on() {
-		ln, err := b.box.Listen(b.cfg.Cluster.Listen, b.door.room(), b.cluster.take, func() { b.turned.Add(1) })
-		if err != nil {
+		if err := b.listen(b.cfg.Cluster.Listen, b.cluster.take); err != nil {
 			return err
 		}
-		b.ln = append(b.ln, ln)
 	}
-	if err := b.listen(b.cfg.Listen, b.door.fastCGI); err != nil {
+	if err := b.listen(b.cfg.Listen, b.door.accept(b.door.fastCGI)); err != nil {
 		return err
 	}
 	if at := b.cfg.AJP.Listen; at != "" {
-		if err := b.listen(at, b.door.ajp); err != nil {
+		if err := b.listen(at, b.door.accept(b.door.ajp)); err != nil {
 			return err
 		}
 		b.log.Info("serving AJP", "listen", at)
@@ -234,6 +237,7 @@
 		for b.cluster.hand() {
 			b.decide()
 		}
+		b.cluster.send()
 		b.keeper.hand()
 		b.lease.report(b)
 		if b.finished() {
@@ -387,9 +391,9 @@
 	return b.now >= b.stopAt-exitBefore && nothing || b.now >= b.stopAt-giveUp || b.ctl == nil
 }
 
-// listen accepts those that speak a protocol.
-func (b *Backend) listen(address string, speaks func(e *edge) protocol) error {
-	ln, err := b.box.Listen(address, b.door.room(), b.door.accept(speaks), func() { b.turned.Add(1) })
+// listen accepts connections at an address.
+func (b *Backend) listen(address string, accept func(c *conn.Conn)) error {
+	ln, err := b.box.Listen(address, b.door.room(), accept, func() { b.turned.Add(1) })
 	if err == nil {
 		b.ln = append(b.ln, ln)
 	}
--- a/backend/cluster.go
+++ b/backend/cluster.go
@@ -145,10 +145,12 @@
 		c.box.Tick(b.keeper.now())
 	}
 	b.at(c.next)
-	if b.now >= c.list.Next() {
+	at := c.list.Next()
+	if b.now >= at {
 		c.list.Tick(b.now)
+		at = c.list.Next()
 	}
-	b.at(c.list.Next())
+	b.at(at)
 }
 
 // hand carries out what members and takeover want, and tells whether anything was done.
@@ -180,14 +182,16 @@
 			c.outcome(o)
 		}
 	}
-	for _, name := range b.cfg.Cluster.Members {
-		if l := c.links[name.Name]; l != nil {
-			c.flush(l)
-		}
-	}
 	return any
 }
 
+// send writes what has come together in a turn, one batch a box.
+func (c *cluster) send() {
+	for _, l := range c.links { // each has its own connection: the order does not matter
+		c.flush(l)
+	}
+}
+
 // flush writes a turn's batch to a box. What can't be sent is asked for again.
 func (c *cluster) flush(l *boxLink) {
 	if len(l.batch.Members)+len(l.batch.Claims) == 0 {
@@ -195,7 +199,8 @@
 	}
 	b := c.b
 	if l.c != nil {
-		l.c.Write(boxwire.Append(b.scratch[:0], &l.batch))
+		b.scratch = boxwire.Append(b.scratch[:0], &l.batch)
+		l.c.Write(b.scratch)
 	} else if !l.dialing && b.now >= l.dialAt {
 		l.dialing = true
 		b.box.Dial(l.address, func(n *conn.Conn, err error) {
@@ -304,12 +309,7 @@
 // taken has a req that another box held go to the module here; nobody waits for it on a connection.
 func (c *cluster) taken(o takeover.Outcome) {
 	b := c.b
-	h := -1
-	for i := range b.handlers {
-		if b.handlers[i].name == o.Work.Handler {
-			h = i
-		}
-	}
+	h := b.handlerOf(o.Work.Handler)
 	left := time.Duration(o.Work.Left)
 	if h < 0 || left <= 0 || b.ctl == nil || b.reqs[o.ID] != nil {
 		c.box.Leave(b.keeper.now(), o.Key, o.ID)
@@ -346,19 +346,12 @@
 	case o.Verdict == keep.Known && asking:
 		c.admitted(r, true)
 	case o.Verdict == keep.Known: // it was held here until another took it: it waits for that one
-	case o.Verdict == takeover.Undecided && asking:
-		b.door.refused(r, account.Undecided, b.keeper.after)
-		b.answered(r)
 	case asking && o.Verdict == keep.Repeat:
 		b.keeper.reason(o.Verdict)
 		b.door.done(r, account.Repeated, o.Result)
 		b.answered(r)
 	case asking:
-		if why := b.keeper.reason(o.Verdict); why.Figure() == account.Refused {
-			b.door.refused(r, why, b.keeper.after)
-		} else {
-			b.door.errored(r, why)
-		}
+		b.door.declined(r, b.keeper.reason(o.Verdict))
 		b.answered(r)
 	case o.Verdict == keep.Begin && !b.wanted(r):
 		r.guard.kept = true
--- a/backend/cluster_test.go
+++ b/backend/cluster_test.go
@@ -50,12 +50,10 @@
 	s.newPeers("")
 	var address [2]string
 	for i := range address {
-		free, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		var err error
+		if address[i], err = stand.FreeAddress(); err != nil {
 			t.Fatal(err)
 		}
-		address[i] = free.Addr().String()
-		_ = free.Close()
 	}
 	s.listen = address[0]
 	cfg := s.config()
--- a/backend/door.go
+++ b/backend/door.go
@@ -342,7 +342,7 @@
 		return
 	}
 	name, isInvoke := strings.CutPrefix(a.path, "/invoke/")
-	r.h = slices.IndexFunc(b.handlers, func(h handler) bool { return h.name == name })
+	r.h = b.handlerOf(name)
 	reason := account.BadFields
 	why := a.why
 	switch {
@@ -439,9 +439,13 @@
 
 func (f *door) errored(r *req, why account.Reason) { f.final(r, why, &reply{status: 500}) }
 
-// refused turns away what the module has not, or no longer, to decide about.
-func (f *door) refused(r *req, why account.Reason, after time.Duration) {
-	f.final(r, why, &reply{status: 503, after: after})
+// declined answers a req without a result, as the reason has it: refused, where the module has not, or no longer, to decide, or errored.
+func (f *door) declined(r *req, why account.Reason) {
+	if why.Figure() == account.Refused {
+		f.final(r, why, &reply{status: 503, after: f.b.keeper.after})
+	} else {
+		f.errored(r, why)
+	}
 }
 
 func (f *door) shed(r *req, after time.Duration, dontRetry bool) {
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -175,7 +175,7 @@
 		return
 	}
 	for name := range b.cfg.Keep.Handlers {
-		if !slices.ContainsFunc(b.handlers, func(h handler) bool { return h.name == name }) {
+		if b.handlerOf(name) < 0 {
 			b.log.Warn("keep", "dir", b.cfg.Keep.Dir, "why", "no such handler", "handler", name)
 		}
 	}
@@ -218,7 +218,7 @@
 	}
 	o.store = keep.New(cfg.Bounds)
 	n, last := 0, time.Now()
-	o.found, o.err = keeplog.Read(disk, box, o.store, func(keep.Write) error {
+	o.log, o.found, o.err = keeplog.Start(disk, box, o.store, now, func(keep.Write) error {
 		if n++; n%lookEach != 0 {
 			return nil
 		}
@@ -233,14 +233,6 @@
 		}
 		return nil
 	})
-	if o.err == nil {
-		o.err = o.found.Clean(disk)
-	}
-	if o.err != nil {
-		return o
-	}
-	o.store.Restarted(now, o.found.Fresh(), o.found.Last)
-	o.log = keeplog.NewWriter(disk, &o.found)
 	return o
 }
 
@@ -271,20 +263,19 @@
 
 // durable follows the disk's word.
 func (k *keeper) durable(seq uint64, err error) {
-	if err == nil {
-		if k.b.cluster.on() {
-			k.b.cluster.box.Durable(k.now(), seq)
-		} else {
-			k.heed(k.store.Durable(seq))
-		}
-		return
-	}
-	k.broken = true
-	if k.b.cluster.on() {
-		k.b.cluster.box.Failed(k.now())
+	box := k.b.cluster.box // nil for a box alone
+	if err != nil {
+		k.broken = true
+		k.b.log.Error("keep", "dir", k.b.cfg.Keep.Dir, "why", err, "so", "guarded reqs are refused in this life, but for repeats")
 	}
-	k.b.log.Error("keep", "dir", k.b.cfg.Keep.Dir, "why", err, "so", "guarded reqs are refused in this life, but for repeats")
-	if !k.b.cluster.on() {
+	switch {
+	case err == nil && box != nil:
+		box.Durable(k.now(), seq)
+	case err == nil:
+		k.heed(k.store.Durable(seq))
+	case box != nil:
+		box.Failed(k.now())
+	default:
 		k.heed(k.store.DiskFailed())
 	}
 }
@@ -351,11 +342,7 @@
 	if verdict != 0 {
 		why = k.reason(verdict)
 	}
-	if why.Figure() == account.Refused {
-		b.door.refused(r, why, k.after)
-	} else {
-		b.door.errored(r, why)
-	}
+	b.door.declined(r, why)
 	b.answered(r)
 	return false
 }
--- a/backend/req.go
+++ b/backend/req.go
@@ -234,13 +234,10 @@
 		return
 	}
 	if b.owes(r) {
-		switch {
-		case how == overload.OK:
+		if how == overload.OK {
 			b.door.done(r, why, body)
-		case why.Figure() == account.Refused:
-			b.door.refused(r, why, b.keeper.after)
-		default:
-			b.door.errored(r, why)
+		} else {
+			b.door.declined(r, why)
 		}
 		b.owed--
 		r.edge = nil
--- a/backend/stand_test.go
+++ b/backend/stand_test.go
@@ -484,24 +484,19 @@
 		}
 	}
 	s.newPeers("")
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	var err error
+	if s.listen, err = stand.FreeAddress(); err != nil {
 		s.t.Fatal(err)
 	}
-	s.listen = free.Addr().String()
-	_ = free.Close()
 	cfg := s.config()
 	if s.disk != nil {
 		cfg.Keep = Keep{Dir: s.t.TempDir(), Handlers: map[string][]Part{"file-claim": {PartBody}}, Gather: time.Microsecond, Disk: s.disk}
 	}
 	if s.ajp = s.ajp || options["ajp"] != ""; s.ajp {
 		cfg.AJP.Secret = options["secret"]
-		free, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		if s.jp, err = stand.FreeAddress(); err != nil {
 			s.t.Fatal(err)
 		}
-		s.jp = free.Addr().String()
-		_ = free.Close()
 		cfg.AJP.Listen = s.jp
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cmd/frosthub/keep_test.go
+++ b/cmd/frosthub/keep_test.go
@@ -360,23 +360,21 @@
 	bounds := keep.Config{Entries: *keepKeys + 1000, Bytes: *keepKeys*100 + 1<<20, ResultMost: 1 << 16, Lifetime: time.Hour,
 		Horizon: 24 * time.Hour, Segments: 64, Prints: *keepKeys/8 + 16, SegmentBytes: 64 << 20}
 	s, disk := keep.New(bounds), keeplog.Folder(dir)
-	found, err := keeplog.Read(disk, "n1", s, nil)
+	now := time.Duration(time.Now().UnixNano())
+	w, _, err := keeplog.Start(disk, "n1", s, now, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	now := time.Duration(time.Now().UnixNano())
-	s.Restarted(now, true, 0)
-	w := keeplog.NewWriter(disk, &found)
 	for i := range *keepKeys {
 		key := keep.Key{0: 1, 8: byte(i >> 16), 9: byte(i >> 8), 10: byte(i)}
 		s.Arrive(now, 0, key, uint64(i+1))
 		s.Ended(now, key, keep.Result, []byte("a result of some bytes"))
 		if i%1000 == 0 || i == *keepKeys-1 {
-			writes := s.Writes()
-			if err := w.Commit(writes); err != nil {
+			seq, err := w.Commit(s.Writes())
+			if err != nil {
 				t.Fatal(err)
 			}
-			s.Durable(1 << 60)
+			s.Durable(seq)
 		}
 	}
 	if err := w.Close(); err != nil {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -160,18 +160,17 @@
 	write := func(key byte, end keep.Kind) {
 		t.Helper()
 		s := keep.New(keep.Config{Entries: 10, Bytes: 100, ResultMost: 50, Lifetime: time.Hour, Horizon: time.Hour, Segments: 9, Prints: 9, SegmentBytes: 999})
-		found, err := keeplog.Read(disk, "n1", s, nil)
+		now := time.Duration(time.Now().UnixNano())
+		w, _, err := keeplog.Start(disk, "n1", s, now, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		now := time.Duration(time.Now().UnixNano())
-		s.Restarted(now, found.Fresh(), found.Last)
 		s.Arrive(now, 0, keep.Key{key}, 1)
 		if end > 0 {
 			s.Ended(now, keep.Key{key}, end, []byte("yes"))
 		}
-		w := keeplog.NewWriter(disk, &found)
-		if err := errors.Join(w.Commit(s.Writes()), w.Close()); err != nil {
+		_, err = w.Commit(s.Writes())
+		if err := errors.Join(err, w.Close()); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/cli/keep.go
+++ b/internal/cli/keep.go
@@ -196,18 +196,13 @@
 	}
 	defer func() { _ = lock.Close() }()
 	s := keep.New(cfg)
-	found, err := keeplog.Read(disk, "", s, nil)
-	if err == nil {
-		err = found.Clean(disk)
-	}
+	now := time.Duration(time.Now().UnixNano())
+	w, _, err := keeplog.Start(disk, "", s, now, nil)
 	if err != nil {
 		return err
 	}
-	now := time.Duration(time.Now().UnixNano())
-	s.Restarted(now, found.Fresh(), found.Last)
 	do(s, now)
-	w := keeplog.NewWriter(disk, &found)
-	if err := w.Commit(s.Writes()); err != nil {
+	if _, err := w.Commit(s.Writes()); err != nil {
 		return err
 	}
 	return w.Close()
--- a/internal/keeplog/crash_test.go
+++ b/internal/keeplog/crash_test.go
@@ -67,33 +67,25 @@
 // start reads the disk; it may lose power in that.
 func (l *lab) start() bool {
 	l.s, l.running, l.keyOf = keep.New(small), nil, map[uint64]int{}
-	found, err := keeplog.Read(l.disk, "n1", l.s, nil)
-	if err != nil {
+	w, found, err := keeplog.Start(l.disk, "n1", l.s, l.now, nil)
+	if err != nil && !errors.Is(err, stand.ErrPower) {
 		l.fatal("reading: %v", err)
 	}
 	if !found.Whole() {
 		l.fatal("what was only cut is taken for damage: %v", found.Damage)
 	}
-	if err := found.Clean(l.disk); err != nil {
-		return false
-	}
-	l.w = keeplog.NewWriter(l.disk, &found)
-	l.s.Restarted(l.now, found.Fresh(), found.Last)
-	return l.commit()
+	l.w = w
+	return err == nil && l.commit()
 }
 
 func (l *lab) commit() bool {
-	writes := l.s.Writes()
-	if err := l.w.Commit(writes); err != nil {
+	seq, err := l.w.Commit(l.s.Writes())
+	if err != nil {
 		if !errors.Is(err, stand.ErrPower) {
 			l.fatal("%v", err)
 		}
 		return false
 	}
-	seq := uint64(0)
-	for _, w := range writes {
-		seq = max(seq, w.Seq)
-	}
 	l.heed(l.s.Durable(seq))
 	return true
 }
--- a/internal/keeplog/read_test.go
+++ b/internal/keeplog/read_test.go
@@ -39,24 +39,18 @@
 func reopen(t testing.TB, d keeplog.Disk, at time.Duration) (*keep.Store, *keeplog.Writer) {
 	t.Helper()
 	s := keep.New(small)
-	found, err := keeplog.Read(d, "n1", s, nil)
+	w, _, err := keeplog.Start(d, "n1", s, at, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Restarted(at, found.Fresh(), found.Last)
-	w := keeplog.NewWriter(d, &found)
 	commit(t, s, w)
 	return s, w
 }
 
 func commit(t testing.TB, s *keep.Store, w *keeplog.Writer) {
 	t.Helper()
-	seq := uint64(0)
-	writes := s.Writes()
-	for _, x := range writes {
-		seq = max(seq, x.Seq)
-	}
-	if err := w.Commit(writes); err != nil {
+	seq, err := w.Commit(s.Writes())
+	if err != nil {
 		t.Fatal(err)
 	}
 	s.Durable(seq)
@@ -277,12 +271,10 @@
 	cfg := keep.Config{Entries: 1 << 21, Bytes: 1 << 30, ResultMost: 1 << 16, Lifetime: time.Hour, Horizon: 24 * time.Hour, Segments: 64,
 		Prints: 1 << 17, SegmentBytes: 64 << 20}
 	s := keep.New(cfg)
-	found, err := keeplog.Read(d, "n1", s, nil)
+	w, _, err := keeplog.Start(d, "n1", s, noon, nil)
 	if err != nil {
 		b.Fatal(err)
 	}
-	s.Restarted(noon, true, 0)
-	w := keeplog.NewWriter(d, &found)
 	const keys = 1_000_000
 	result := make([]byte, 100)
 	for i := range keys {
--- a/internal/keeplog/write.go
+++ b/internal/keeplog/write.go
@@ -24,18 +24,31 @@
 	return &Writer{d: d, id: f.ID, number: f.tail, size: f.size, cut: f.Cut > 0}
 }
 
-// Clean removes what an earlier life left.
-func (f *Found) Clean(d Disk) error {
-	for _, name := range f.Leftover {
+// Start has a life of a store begin: it reads what there is, as Read does, removes what earlier lives left, and gives what puts the
+// store's writes on the disk.
+func Start(d Disk, box string, s *keep.Store, now time.Duration, each func(keep.Write) error) (*Writer, Found, error) {
+	found, err := Read(d, box, s, each)
+	if err != nil {
+		return nil, found, err
+	}
+	for _, name := range found.Leftover {
 		if err := d.Remove(name); err != nil {
-			return err
+			return nil, found, err
 		}
 	}
-	return nil
+	s.Restarted(now, found.Fresh(), found.Last)
+	return NewWriter(d, &found), found, nil
 }
 
-// Commit puts all that on the disk and returns when the disk has confirmed it.
-func (w *Writer) Commit(writes []keep.Write) error {
+// Commit puts all that on the disk and returns when the disk has confirmed it, up to which record.
+func (w *Writer) Commit(writes []keep.Write) (seq uint64, err error) {
+	for i := range writes {
+		seq = max(seq, writes[i].Seq)
+	}
+	return seq, w.commit(writes)
+}
+
+func (w *Writer) commit(writes []keep.Write) error {
 	for from := 0; from < len(writes); {
 		if k := writes[from].Kind; k == keep.Retire {
 			if err := w.retire(writes[from].Prints); err != nil {
@@ -253,15 +266,12 @@
 		l.queue = nil
 		l.mu.Unlock()
 		last = time.Now()
-		if err := l.w.Commit(batch); err != nil {
+		seq, err := l.w.Commit(batch)
+		if err != nil {
 			l.told(0, err)
 			_ = l.w.Close() // it failed already
 			return
 		}
-		seq := uint64(0)
-		for i := range batch {
-			seq = max(seq, batch[i].Seq)
-		}
 		l.mu.Lock()
 		l.stats.Records += int64(len(batch))
 		l.stats.Commits++
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -206,9 +206,6 @@
 	return t
 }
 
-// Failed tells whether nothing more can be written.
-func (s *Store) Failed() bool { return s.failed }
-
 // write puts a record into the open segment.
 func (s *Store) write(w Write) (*segment, uint64) {
 	g := s.segments[len(s.segments)-1]
--- a/takeover/group.go
+++ b/takeover/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"math"
 	"slices"
 
@@ -66,6 +65,3 @@
 	Cost       int64 // expected, in nanoseconds
 	Size, Rank float64
 }
-
-// keyWord is a key as a number, for ids that stand for it.
-func keyWord(k keep.Key) uint64 { return binary.LittleEndian.Uint64(k[:]) | 1 }
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -899,7 +899,7 @@
 		}
 	}
 	every := b.most(c.key, func(name string) bool { _, ok := c.votes[name]; return ok })
-	if every && b.now-c.since < c.patience(b.cfg) { // some may still say more
+	if every && b.now-c.since < b.cfg.Patient/4 { // some may still say more
 		every = len(c.votes) == len(b.all(c.key)) || !doubted && !gone && (by == nil || by.Vote != Running)
 	}
 	switch {
@@ -939,9 +939,6 @@
 	}
 }
 
-// patience is how long the rest of a group is waited for once a majority has spoken.
-func (c *claim) patience(cfg Config) time.Duration { return cfg.Patient / 4 }
-
 // lost tells whether a ballot's holder seems to be no more.
 func (b *Box) lost(by Ballot) bool {
 	if by.Box == b.cfg.Name {
