--- a/members/members.go
+++ b/members/members.go
@@ -106,26 +106,27 @@
 
 // List is what one box believes. Make it with New.
 type List struct {
-	cfg     Config
-	self    Update
-	peers   map[string]*peer
-	order   []string // to be probed, shuffled each round
-	next    int
-	probeAt time.Duration
-	probes  []probe
-	number  uint64
-	unwell  int // Lifeguard: how slow this box itself seems
-	news    map[string]int
-	chance  uint64
-	sends   []Send
-	changes []Change
+	cfg       Config
+	self      Update
+	peers     map[string]*peer
+	order     []string // to be probed, shuffled each round
+	suspected []*peer
+	next      int
+	probeAt   time.Duration
+	probes    []probe
+	number    uint64
+	unwell    int // Lifeguard: how slow this box itself seems
+	news      news
+	chance    uint64
+	sends     []Send
+	changes   []Change
 }
 
 // New returns a list in which nobody has been heard of.
 func New(cfg Config, seed uint64, now time.Duration) *List {
 	cfg.Every, cfg.Within = cmp.Or(cfg.Every, everyUsual), cmp.Or(cfg.Within, withinUsual)
 	cfg.Helpers, cfg.Patient = cmp.Or(cfg.Helpers, helpersUsual), cmp.Or(cfg.Patient, patientUsual)
-	l := &List{cfg: cfg, self: Update{cfg.Name, cfg.Life, 0, Alive}, peers: map[string]*peer{}, news: map[string]int{}, chance: seed | 1,
+	l := &List{cfg: cfg, self: Update{cfg.Name, cfg.Life, 0, Alive}, peers: map[string]*peer{}, chance: seed | 1,
 		probeAt: now}
 	for _, name := range cfg.Others {
 		if name != cfg.Name {
@@ -134,7 +135,7 @@
 		}
 	}
 	slices.Sort(l.order)
-	l.news[cfg.Name] = 0
+	l.news.fresh(cfg.Name)
 	return l
 }
 
@@ -207,24 +208,12 @@
 	if p := l.peers[to]; p != nil && p.State >= Suspected {
 		out = append(out, p.Update)
 	}
-	names := make([]string, 0, len(l.news))
-	for name := range l.news {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, func(x, y string) int { return cmp.Or(cmp.Compare(l.news[x], l.news[y]), cmp.Compare(x, y)) })
-	most := int(l.times(gossipTimes))
-	for _, name := range names {
-		if len(out) >= gossipMost {
-			break
-		}
-		u := l.Of(name)
-		if u.Life > 0 && (name != to || len(out) == 0) {
+	l.news.pick(int(l.times(gossipTimes)), func(name string) bool {
+		if u := l.Of(name); u.Life > 0 && (name != to || len(out) == 0) {
 			out = append(out, u)
 		}
-		if l.news[name]++; l.news[name] > most {
-			delete(l.news, name)
-		}
-	}
+		return len(out) < gossipMost
+	})
 	return out
 }
 
@@ -234,10 +223,8 @@
 	for _, p := range l.probes {
 		at = min(at, p.at+l.limit(p))
 	}
-	for _, p := range l.peers {
-		if p.State == Suspected {
-			at = min(at, p.due)
-		}
+	for _, p := range l.suspected {
+		at = min(at, p.due)
 	}
 	return at
 }
@@ -271,8 +258,8 @@
 			l.send(helper, Message{Kind: Help, Number: p.number, For: p.of})
 		}
 	}
-	for _, name := range l.order {
-		if p := l.peers[name]; p.State == Suspected && now >= p.due {
+	for _, p := range slices.Clone(l.suspected) {
+		if now >= p.due {
 			u := p.Update
 			u.State = Dead
 			l.believe(now, u)
@@ -383,7 +370,7 @@
 		if u.Life == l.self.Life && u.State > Alive && u.Incarnation >= l.self.Incarnation && l.self.State != Left {
 			l.self.Incarnation = u.Incarnation + 1
 			l.feel(1)
-			l.news[l.cfg.Name] = 0
+			l.news.fresh(l.cfg.Name)
 		}
 		return
 	}
@@ -393,8 +380,10 @@
 	}
 	before := p.Update
 	p.Update = u
-	l.news[u.Name] = 0
+	l.news.fresh(u.Name)
+	l.suspected = slices.DeleteFunc(l.suspected, func(q *peer) bool { return q == p })
 	if u.State == Suspected {
+		l.suspected = append(l.suspected, p)
 		p.due = now + l.slow(time.Duration(l.times(l.cfg.Patient)*float64(l.cfg.Every)))
 	}
 	l.changes = append(l.changes, Change{u, before})
@@ -403,7 +392,7 @@
 // Leave tells all that this box leaves.
 func (l *List) Leave() {
 	l.self.State = Left
-	l.news[l.cfg.Name] = 0
+	l.news.fresh(l.cfg.Name)
 	for _, name := range l.order {
 		if l.Alive(name) {
 			l.number++
