--- a/internal/stand/ask.go
+++ b/internal/stand/ask.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -226,8 +227,9 @@
 	CostMS   float64
 	Target   time.Duration // an answer later than this is worth nothing
 	Patient  time.Duration
-	Body     string
+	Body     string // the id if empty: each its own
 	Value    map[string]float64
+	Took     func(time.Duration) // hears how long each served req took; nil: nobody does
 }
 
 // Run asks until the context is done and waits for all answers. It gives the service figure: the value answered
@@ -247,6 +249,9 @@
 			return got / asked
 		case <-time.After(time.Until(start.Add(at))):
 		}
+		if req.Body == "" {
+			req.Body = fmt.Sprintf("%016x", req.ID)
+		}
 		value := s.Value[req.Handler]
 		asked += value
 		tally.Set(req.ID, Sent)
@@ -255,11 +260,59 @@
 			req.Start = began.UnixMilli()
 			o := ask(req.ID).Ask(&req, s.Patient)
 			tally.Set(req.ID, o)
-			if o == Served && time.Since(began) <= s.Target {
+			if took := time.Since(began); o == Served && took <= s.Target {
 				mu.Lock()
+				if s.Took != nil {
+					s.Took(took)
+				}
 				got += value
 				mu.Unlock()
 			}
 		})
 	}
 }
+
+// Retrying asks boxes one after the other, under a new id each time, as edge nodes do whose list has several: a refusal, or a connection
+// that is refused or ends, leads to the next. It is served by the first 200, whatever run that is of.
+type Retrying struct {
+	Boxes []Asker
+	Tries int
+	Pause time.Duration
+}
+
+// Ask sends a req until it is served or has been tried often enough, or the time is over.
+func (a *Retrying) Ask(r *Req, patient time.Duration) Outcome {
+	_, o := a.Exchange(r, patient)
+	return o
+}
+
+// Exchange does so and gives the last answer.
+func (a *Retrying) Exchange(r *Req, patient time.Duration) (got Answer, o Outcome) {
+	till := time.Now().Add(patient)
+	for try := range a.Tries {
+		left := time.Until(till)
+		if left <= 0 {
+			break
+		}
+		x := *r
+		x.ID += uint64(try) << 1
+		got, o = a.Boxes[(int(r.ID>>33)+try)%len(a.Boxes)].Exchange(&x, left)
+		switch {
+		case o == Served && got.Status == 200:
+			return got, Served
+		case o == Served && got.Status == 503:
+			o = Refused
+		case o == Served, o == Failed:
+			return got, Failed
+		}
+		time.Sleep(a.Pause)
+	}
+	return got, o
+}
+
+// Close ends the connections of all.
+func (a *Retrying) Close() {
+	for _, b := range a.Boxes {
+		b.Close()
+	}
+}
--- a/internal/stand/claims.go
+++ b/internal/stand/claims.go
@@ -23,10 +23,12 @@
 	Customer string
 	Took     func(time.Duration) // hears how long each served try took; nil: nobody does
 
-	mu    sync.Mutex
-	of    map[string]*Claim
-	list  []string
-	wrong []string
+	mu      sync.Mutex
+	history []Event
+	began   int64
+	of      map[string]*Claim
+	list    []string
+	wrong   []string
 }
 
 // Claim is what its callers know of a key.
@@ -42,7 +44,7 @@
 func (l *Claims) Run(ctx context.Context, seed uint64, ask func(n uint64) Asker) {
 	l.mu.Lock()
 	if l.of == nil {
-		l.of = map[string]*Claim{}
+		l.of, l.began = map[string]*Claim{}, time.Now().UnixNano()
 	}
 	l.mu.Unlock()
 	var all sync.WaitGroup
@@ -96,6 +98,9 @@
 	got, o := ask(n).Exchange(&req, l.Patient)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if served := o == Served && got.Status == 200; served || o == Failed || o == Served && got.Status != 503 {
+		l.history = append(l.history, Event{Key: key, Served: served, Result: got.Body, Asked: began.UnixNano(), Heard: time.Now().UnixNano()})
+	}
 	switch {
 	case o == Refused || o == Served && got.Status == 503:
 		c.Refused++
@@ -123,6 +128,26 @@
 	return 500
 }
 
+// linear tells whether one run a key, at some time after it was first asked for, explains all answers.
+func (l *Claims) linear() (string, bool) {
+	events := append([]Event(nil), l.history...)
+	first, last := map[string]int64{}, map[string]int64{}
+	result := map[string]string{}
+	for _, e := range l.history {
+		if at, ok := first[e.Key]; !ok || e.Asked < at {
+			first[e.Key] = e.Asked
+		}
+		if e.Served && result[e.Key] == "" {
+			result[e.Key] = e.Result
+		}
+		last[e.Key] = max(last[e.Key], e.Heard)
+	}
+	for key, at := range first { // its time is not known beyond that
+		events = append(events, Event{Key: key, Ran: true, Result: result[key], Asked: min(at, l.began), Heard: last[key]})
+	}
+	return Linear(events)
+}
+
 // ClaimSums are what became of all.
 type ClaimSums struct{ Keys, Served, Answers, Doubted, Refused, Cut int }
 
@@ -131,6 +156,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	wrong := append([]string(nil), l.wrong...)
+	if bad, ok := l.linear(); !ok {
+		wrong = append(wrong, "no order explains "+bad)
+	}
 	var s ClaimSums
 	for key, c := range l.of {
 		s.Keys++
--- a/takeover/sim_test.go
+++ b/takeover/sim_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"frosthub/internal/stand"
 	"frosthub/keep"
 )
 
@@ -42,6 +43,7 @@
 	bad      string // the first broken rule
 	trace    []string
 
+	history  []stand.Event
 	verdicts map[keep.Verdict]int
 	askedAt  map[uint64]time.Duration
 }
@@ -281,6 +283,7 @@
 		if w.r.IntN(12) == 0 {
 			e.kind, e.result = keep.Failed, nil
 		}
+		w.history = append(w.history, stand.Event{Key: string(o.Key[:]), Ran: true, Result: string(e.result), Asked: int64(w.now), Heard: int64(w.now)})
 		life := x.life
 		w.after(w.span(20*time.Millisecond), func() {
 			if w.lives || x.up && x.life == life {
@@ -295,6 +298,7 @@
 			w.replayed++
 			return
 		}
+		w.heard(o, true)
 		if k.answer == nil {
 			k.answer, k.since = o.Result, w.now
 		}
@@ -302,12 +306,20 @@
 			w.broken("key %x: %q, and %q before", o.Key[15], o.Result, k.answer)
 		}
 	case keep.InDoubt, keep.Broken:
+		w.heard(o, false)
 		if at, ok := w.askedAt[o.ID]; ok && k.answer != nil && at > k.since { // who asked before may have been told what was so then
 			w.broken("key %x was answered, and is %d now", o.Key[15], o.Verdict)
 		}
 	}
 }
 
+// heard notes an answer for the history.
+func (w *world) heard(o Outcome, served bool) {
+	if at, ok := w.askedAt[o.ID]; ok && !w.keys[o.Key].replay {
+		w.history = append(w.history, stand.Event{Key: string(o.Key[:]), Served: served, Result: string(o.Result), Asked: int64(at), Heard: int64(w.now)})
+	}
+}
+
 func (w *world) ask() {
 	key := keep.Key{15: byte(w.r.IntN(12))}
 	key[14] = byte(w.seq / 4000)
@@ -425,6 +437,9 @@
 	for _, x := range w.boxes {
 		w.found += x.b.Stats().Found
 	}
+	if bad, ok := stand.Linear(w.history); !ok {
+		w.broken("no order explains %x", bad)
+	}
 	return w
 }
 
