Members of a cluster change in service, by both lists until what ran before is past

The list of members could be changed only with all boxes stopped, and files that differ had two groups decide on one key.

takeover.Roster decides by which lists a box goes: the one before and the new one (cluster former), majorities of both groups, until all others have said that they go by both and, from then on, a horizon has passed. Boxes say in their hello by which lists they go (digests) and hear each other on keys only where they share one. The lists in force stand in cluster.json beside the store, on the disk before they are acted on: a box that comes back goes by what others know of it. Who leaves the list is heard until it is dead; it still has runs to end.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -155,6 +155,7 @@
 		b.cfg.NextAJP = cfg.NextAJP
 		b.tier.move(&cfg)
 	}
+	b.cluster.change(cfg.Cluster)
 	b.log.Info("configuration read anew", "processor", cfg.Processor, "next_tier", cfg.NextTier, "control", cfg.Control)
 }
 
--- a/backend/cluster.go
+++ b/backend/cluster.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"frosthub/account"
@@ -22,6 +23,7 @@
 	Name    string
 	Listen  string // where the others connect
 	Members []ClusterMember
+	Former  []ClusterMember   // while the members change: the list before
 	Promise bool              // what was held goes on although nobody asks for it again
 	Replays map[string][]Part // handlers whose reqs may run again and are taken over too, and what their keys are made of
 }
@@ -29,8 +31,8 @@
 // ClusterMember is one of them, this box among them.
 type ClusterMember struct {
 	takeover.Member
-	Address   string
-	Processor string // where others may ask its processor how runs ended, once it seems lost; empty: they don't
+	Address   string `json:"address"`
+	Processor string `json:"processor,omitempty"` // where others may ask its processor how runs ended, once it seems lost; empty: they don't
 }
 
 const (
@@ -40,6 +42,7 @@
 	probeEvery = 100 * time.Millisecond // a death is suspected after a few of these
 	probeAnd   = 40 * time.Millisecond
 	helloMost  = 4 << 10                // bytes of one that has not said who it is
+	reqsMost   = 500                    // reqs that are shown: what a person reads
 	askWait    = 100 * time.Millisecond // for the processor of a lost box
 	noteShare  = 0.02                   // of the memory limit, for results of replayable reqs that are noted for others
 	sizeTaken  = 24.0                   // kilobytes booked for a req that was taken over, where its box told none
@@ -55,6 +58,15 @@
 	next  time.Duration
 	parts [][]Part            // by handler: replayable ones that are taken over
 	asked map[string]*session // processors of lost boxes that are being asked
+
+	lists     lists               // that this box goes by
+	goes      []uint64            // their digests
+	leavers   []ClusterMember     // of the list before: no members, and not known to be gone
+	told      map[string][]uint64 // by which lists others go: digests
+	pending   bool                // it is to go by those of the configuration
+	tryAt     time.Duration
+	why       string // it can't yet
+	recording bool   // the disk takes other lists
 }
 
 // session is a question to the processor of a lost box.
@@ -93,27 +105,22 @@
 		}
 		c.parts = append(c.parts, parts)
 	}
-	for _, m := range b.cfg.Cluster.Members {
-		if m.Name != b.cfg.Name {
-			c.links[m.Name] = &boxLink{address: m.Address, processor: m.Processor}
-		}
-	}
+	c.told = map[string][]uint64{}
 }
 
-// begin has the box take part, with the life that its store counts.
-func (c *cluster) begin(store *keep.Store) {
+// begin has the box take part, with the life that its store counts and the lists that it went by last.
+func (c *cluster) begin(store *keep.Store, l lists) {
 	b := c.b
-	c.life = store.Stats().Life
-	var names []string
-	var all []takeover.Member
-	for _, m := range b.cfg.Cluster.Members {
-		names, all = append(names, m.Name), append(all, m.Member)
-	}
-	c.list = members.New(members.Config{Name: b.cfg.Name, Life: c.life, Others: names, Every: probeEvery, Within: probeAnd}, b.cfg.Seed, b.now)
-	c.box = takeover.New(takeover.Config{Name: b.cfg.Name, Life: c.life, Members: all, Promise: b.cfg.Cluster.Promise,
+	c.life, c.lists = store.Stats().Life, l
+	r := l.roster()
+	c.goes = r.Digests()
+	c.pending = true // until it goes by those of its file
+	c.list = members.New(members.Config{Name: b.cfg.Name, Life: c.life, Every: probeEvery, Within: probeAnd}, b.cfg.Seed, b.now)
+	c.connect()
+	c.box = takeover.New(takeover.Config{Name: b.cfg.Name, Life: c.life, Members: r.Members, Before: r.Before, Promise: b.cfg.Cluster.Promise,
 		Bytes: int(min(b.share(noteShare), noteShare*memoryNone))}, store, c, b.cfg.Seed^1,
 		b.keeper.now())
-	b.log.Info("cluster", "name", b.cfg.Cluster.Name, "life", c.life, "members", len(all))
+	b.log.Info("cluster", "name", b.cfg.Cluster.Name, "life", c.life, "members", len(l.Members), "before", len(l.Before))
 }
 
 // Alive and Life are what takeover is told of others. One that is only suspected is tried to be replaced: that harms nothing.
@@ -125,17 +132,23 @@
 	b := c.b
 	from, life := "", uint64(0)
 	p := boxwire.NewParser(func(batch *boxwire.Batch) error {
-		if h := batch.Hello; h != nil && from == "" {
-			if h.Cluster != b.cfg.Cluster.Name || c.links[h.From] == nil {
+		if c.box == nil && batch.Hello == nil {
+			return nil // not yet read: they ask again
+		}
+		if h := batch.Hello; h != nil && (from == "" || from == h.From && life == h.Life) {
+			if h.Cluster != b.cfg.Cluster.Name || c.links[h.From] == nil && c.box != nil {
 				return fmt.Errorf("%w: %s of %s", errStranger, h.From, h.Cluster)
 			}
 			from, life = h.From, h.Life
+			c.told[from] = h.Lists
 		}
-		if from == "" {
+		switch {
+		case from == "":
 			return errHello
-		}
-		if c.box == nil {
-			return nil // not yet read: they ask again
+		case c.box == nil:
+			return nil
+		case c.links[from] == nil:
+			return fmt.Errorf("%w: %s", errStranger, from)
 		}
 		if len(batch.Members) == 0 {
 			c.list.Heard(b.now, from, life)
@@ -143,6 +156,10 @@
 		for i := range batch.Members {
 			c.list.Receive(b.now, from, life, &batch.Members[i])
 		}
+		if len(batch.Claims) > 0 && !takeover.Meet(c.told[from], c.goes) {
+			b.note("members differ", "box", from)
+			return nil
+		}
 		for i := range batch.Claims {
 			c.box.Receive(b.keeper.now(), from, life, &batch.Claims[i])
 		}
@@ -177,6 +194,7 @@
 		c.box.Tick(b.keeper.now())
 	}
 	b.at(c.next)
+	c.tryChange()
 	at := c.list.Next()
 	if b.now >= at {
 		c.list.Tick(b.now)
@@ -194,9 +212,13 @@
 	sends, changes := c.list.Take()
 	for _, s := range sends {
 		l := c.links[s.To]
+		if l == nil {
+			continue // it is no member any more
+		}
 		l.batch.Members = append(l.batch.Members, s.Message)
 	}
 	for _, x := range changes {
+		c.forget(x.Update)
 		b.log.Info("member", "name", x.Name, "life", x.Life, "state", x.State.String(), "was", x.Before.State.String())
 	}
 	for {
@@ -270,11 +292,16 @@
 		l.c.Write(b.scratch)
 	} else if !l.dialing && b.now >= l.dialAt {
 		l.dialing = true
-		b.box.Dial(l.address, func(n *conn.Conn, err error) {
+		address := l.address
+		b.box.Dial(address, func(n *conn.Conn, err error) {
 			l.dialing, l.dialAt = false, b.now+boxRedial
 			if err != nil {
 				return
 			}
+			if l.address != address {
+				n.Close(conn.ErrDone) // it has moved meanwhile
+				return
+			}
 			l.c = n
 			n.Most = boxOutMost
 			n.Data = func([]byte) error { return nil }
@@ -283,7 +310,7 @@
 					l.c = nil
 				}
 			}
-			n.Write(boxwire.Append(nil, &boxwire.Batch{Hello: &boxwire.Hello{Cluster: b.cfg.Cluster.Name, From: b.cfg.Name, Life: c.life}}))
+			n.Write(c.hello())
 		})
 	}
 	l.batch = boxwire.Batch{}
@@ -340,9 +367,13 @@
 type ClusterStats struct {
 	Name    string         `json:"name"`
 	Life    uint64         `json:"life"`
+	Former  int            `json:"former"` // boxes of the list before, while the members change; 0 they don't
+	Since   string         `json:"since"`  // that all are known to go by both
+	Why     string         `json:"why"`    // it does not go by the lists of its file
 	Unwell  int            `json:"unwell"` // how slow this box takes itself to be, 0 to 8
 	Members []MemberStats  `json:"members"`
 	Work    takeover.Stats `json:"work"`
+	Reqs    []takeover.Req `json:"reqs"` // some of those that are held, waited for or noted
 }
 
 // MemberStats are what is believed of a box.
@@ -350,6 +381,7 @@
 	Name  string `json:"name"`
 	Life  uint64 `json:"life"`
 	State string `json:"state"`
+	Goes  string `json:"goes"` // by which lists: as this box, beside it, apart, unknown
 }
 
 // ClusterStats gives them, while Serve runs and after it; nil without a cluster, or before the store is read.
@@ -360,9 +392,19 @@
 		if c.box == nil {
 			return
 		}
-		out = &ClusterStats{Name: b.cfg.Cluster.Name, Life: c.life, Unwell: c.list.Unwell(), Work: c.box.Stats()}
+		out = &ClusterStats{Name: b.cfg.Cluster.Name, Life: c.life, Former: len(c.lists.Before), Since: c.allSince(), Why: c.why,
+			Unwell: c.list.Unwell(), Work: c.box.Stats(), Reqs: c.box.Reqs(reqsMost)}
 		for _, m := range c.list.All() {
-			out.Members = append(out.Members, MemberStats{m.Name, m.Life, m.State.String()})
+			goes := "unknown"
+			switch told := c.told[m.Name]; {
+			case m.Name == b.cfg.Name, slices.Equal(told, c.goes):
+				goes = "as here"
+			case takeover.Meet(told, c.goes):
+				goes = "beside"
+			case told != nil:
+				goes = "apart"
+			}
+			out.Members = append(out.Members, MemberStats{m.Name, m.Life, m.State.String(), goes})
 		}
 	})
 	return out
--- a/backend/cluster_test.go
+++ b/backend/cluster_test.go
@@ -80,7 +80,8 @@
 		time.Sleep(time.Millisecond)
 	}
 	hello := func(cluster, from string, life uint64) []byte {
-		return boxwire.Append(nil, &boxwire.Batch{Hello: &boxwire.Hello{Cluster: cluster, From: from, Life: life}})
+		return boxwire.Append(nil, &boxwire.Batch{Hello: &boxwire.Hello{Cluster: cluster, From: from, Life: life,
+			Lists: []uint64{takeover.Digest(plain(cfg.Cluster.Members))}}})
 	}
 	claim := boxwire.Append(nil, &boxwire.Batch{Members: []members.Message{{Kind: members.Ping, Number: 1}}, Claims: []takeover.Message{
 		{Kind: takeover.Open, Key: keep.Key{1}, Ballot: takeover.Ballot{N: 1, Box: "n1", Life: 1}, Work: &takeover.Work{Left: int64(time.Minute)}},
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -185,9 +185,14 @@
 	k.writing = map[*req]struct{}{}
 	k.closing, k.gone = make(chan struct{}), make(chan struct{})
 	began := b.now
+	var first *lists
+	if b.cluster.on() {
+		l := b.cfg.Cluster.wanted()
+		first = &l
+	}
 	go func() {
 		defer close(k.gone)
-		o := openStore(b.cfg.Name, &b.cfg.Keep, k.base, k.closing, func(n int) {
+		o := openStore(b.cfg.Name, &b.cfg.Keep, first, k.base, k.closing, func(n int) {
 			b.log.Info("keep", "dir", b.cfg.Keep.Dir, "reading", n)
 		})
 		b.box.Post(func() { k.opened(o, began) })
@@ -200,13 +205,14 @@
 	log   *keeplog.Writer
 	lock  *os.File
 	found keeplog.Found
+	lists lists // of a box of a cluster
 	err   error
 }
 
 var errClosing = errors.New("the process ends")
 
-// openStore reads a store; it is given up when closing is closed.
-func openStore(box string, cfg *Keep, now time.Duration, closing chan struct{}, told func(records int)) (o openedStore) {
+// openStore reads a store; it is given up when closing is closed. first are the lists that a box of a cluster begins with, nil for one alone.
+func openStore(box string, cfg *Keep, first *lists, now time.Duration, closing chan struct{}, told func(records int)) (o openedStore) {
 	disk := cfg.Disk
 	if disk == nil {
 		disk = keeplog.Folder(cfg.Dir)
@@ -217,6 +223,11 @@
 	if o.lock, o.err = hold.Take(filepath.Join(cfg.Dir, keeplog.LockName)); o.err != nil {
 		return o
 	}
+	if first != nil {
+		if o.lists, o.err = readLists(cfg.Dir, *first); o.err != nil {
+			return o
+		}
+	}
 	o.store = keep.New(cfg.Bounds)
 	n, last := 0, time.Now()
 	o.log, o.found, o.err = keeplog.Start(disk, box, o.store, now, func(keep.Write) error {
@@ -253,7 +264,7 @@
 		b.box.Post(func() { k.durable(seq, err) })
 	})
 	if b.cluster.on() {
-		b.cluster.begin(k.store)
+		b.cluster.begin(k.store, o.lists)
 	}
 	k.hand()
 	s := k.store.Stats()
--- a/cmd/frosthub/keep_test.go
+++ b/cmd/frosthub/keep_test.go
@@ -153,7 +153,7 @@
 	t.Helper()
 	a := stand.NewFastCGI(address)
 	defer a.Close()
-	for i := range uint64(2000) {
+	for i, end := uint64(0), time.Now().Add(20*time.Second); time.Now().Before(end); i++ {
 		req := stand.Req{ID: 1<<60 + i, Handler: "file-claim", Start: time.Now().UnixMilli(), Body: fmt.Sprint("ready", i), CostMS: 1}
 		if a.Ask(&req, time.Second) == stand.Served {
 			return
--- a/cmd/frosthub/takeover_test.go
+++ b/cmd/frosthub/takeover_test.go
@@ -27,19 +27,38 @@
 	ps    []*stand.Processor
 	fc    []*stand.FastCGI
 	links [][]*stand.Link // from, to
+
+	listens []string // for the other boxes
+	alone   []string // the files of boxes alone
 }
 
-// newFleetRig prepares them; without cluster each keeps what it ran for itself.
+// newFleetRig starts them; without cluster each keeps what it ran for itself.
 func newFleetRig(t *testing.T, n int, work time.Duration, clustered bool) *fleetRig {
+	t.Helper()
+	f := prepareFleet(t, n, work)
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	for i := range f.boxes {
+		if clustered {
+			f.joins(i, all, nil)
+		}
+		f.start(i)
+	}
+	return f
+}
+
+// prepareFleet has boxes, processors and links ready; each box keeps what it ran for itself.
+func prepareFleet(t *testing.T, n int, work time.Duration) *fleetRig {
 	t.Helper()
 	f := &fleetRig{t: t}
-	var listens []string
 	for range n {
 		at, err := stand.FreeAddress()
 		if err != nil {
 			t.Fatal(err)
 		}
-		listens = append(listens, at)
+		f.listens = append(f.listens, at)
 		p, err := stand.NewProcessor(2, everyReq(work))
 		if err != nil {
 			t.Fatal(err)
@@ -58,32 +77,46 @@
 		if out, err := exec.Command(binary, "keep", "init", "--box", name, store).CombinedOutput(); err != nil {
 			t.Fatal(string(out))
 		}
-		conf := "figures file " + filepath.Join(dir, "figures") + "\nkeep dir " + store + "\nkeep handler file-claim by body\n"
-		var lines strings.Builder
+		f.alone = append(f.alone, "figures file "+filepath.Join(dir, "figures")+"\nkeep dir "+store+"\nkeep handler file-claim by body\n")
 		f.links = append(f.links, nil)
-		for k, at := range listens {
+		for _, at := range f.listens {
 			link, err := stand.NewLink(at)
 			if err != nil {
 				t.Fatal(err)
 			}
 			t.Cleanup(link.Close)
 			f.links[i] = append(f.links[i], link)
-			fmt.Fprintf(&lines, "cluster member n%d %s zone=z%d processor=%s\n", k+1, link.Address(), k%3, f.ps[k].Address())
-		}
-		if clustered {
-			conf += "cluster name north\ncluster promise yes\ncluster replay field-update by body\ncluster listen " + listens[i] + "\n" + lines.String()
 		}
-		f.boxes = append(f.boxes, &stand.Box{Binary: binary, Dir: dir, Name: name, Listen: address, Processor: f.ps[i].Address(), StopMS: 800, Conf: conf})
+		f.boxes = append(f.boxes, &stand.Box{Binary: binary, Dir: dir, Name: name, Listen: address, Processor: f.ps[i].Address(), StopMS: 800,
+			Conf: f.alone[i]})
 		f.fc = append(f.fc, stand.NewFastCGI(address))
 		t.Cleanup(f.fc[i].Close)
+	}
+	return f
+}
+
+// joins has a box's file name these members, and those before while they change.
+func (f *fleetRig) joins(i int, members, former []int) {
+	conf := f.alone[i] + "cluster name north\ncluster promise yes\ncluster replay field-update by body\ncluster listen " + f.listens[i] + "\n"
+	for word, list := range map[string][]int{"member": members, "former": former} {
+		for _, k := range list {
+			conf += fmt.Sprintf("cluster %s n%d %s zone=z%d processor=%s\n", word, k+1, f.links[i][k].Address(), k%3, f.ps[k].Address())
+		}
+	}
+	f.boxes[i].Conf = conf
+}
+
+// start starts boxes, and returns when they serve.
+func (f *fleetRig) start(boxes ...int) {
+	f.t.Helper()
+	for _, i := range boxes {
 		if err := f.boxes[i].Start(); err != nil {
-			t.Fatal(err)
+			f.t.Fatal(err)
 		}
 	}
-	for _, b := range f.boxes {
-		ready(t, b.Listen)
+	for _, i := range boxes {
+		ready(f.t, f.boxes[i].Listen)
 	}
-	return f
 }
 
 func (f *fleetRig) end() {
@@ -293,6 +326,88 @@
 	}
 }
 
+// TestMembersChanged has boxes n1 to n3 give way to n3 to n5 under load, one of which is killed on the way: no claim runs twice, none that
+// ran is forgotten, and what a file says too early is not done.
+func TestMembersChanged(t *testing.T) {
+	f := prepareFleet(t, 5, 6*time.Millisecond)
+	defer f.end()
+	for i := range f.alone {
+		f.alone[i] += "keep horizon 3s\n"
+	}
+	before, after := []int{0, 1, 2}, []int{2, 3, 4}
+	for _, i := range before {
+		f.joins(i, before, nil)
+	}
+	f.start(before...)
+	load := &stand.Claims{Handler: "file-claim", Callers: 20, Repeats: 3, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 6}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		load.Run(ctx, 8, func(n uint64) stand.Asker { return f.fc[n>>40%5] })
+	}()
+	logs := func(text string, boxes ...int) {
+		t.Helper()
+		for _, i := range boxes {
+			for end := time.Now().Add(15 * time.Second); !strings.Contains(f.boxes[i].Log(), text); time.Sleep(5 * time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("n%d never logs %q:\n%s", i+1, text, f.boxes[i].Log())
+				}
+			}
+		}
+	}
+	change := func(members, former []int, boxes ...int) {
+		t.Helper()
+		for _, i := range boxes {
+			f.joins(i, members, former)
+			if err := f.boxes[i].Reload(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	change(after, nil, 0) // without the list before
+	logs("must stand beside the new one", 0)
+	for _, i := range []int{3, 4} {
+		f.joins(i, after, before)
+		if err := f.boxes[i].Start(); err != nil { // it serves claims once the others know of it
+			t.Fatal(err)
+		}
+	}
+	change(after, before, 0, 1)
+	time.Sleep(300 * time.Millisecond)
+	change(after, nil, 0) // n3 still goes by the list before alone
+	logs("not known to go by the new list", 0)
+	if err := f.boxes[2].Kill(); err != nil {
+		t.Fatal(err)
+	}
+	f.joins(2, after, before)
+	f.start(2)
+	change(after, nil, 0, 1, 2, 3, 4)
+	logs("may still be asked for again", 0, 1, 2, 3, 4)
+	logs("now=3 before=0", 0, 1, 2, 3, 4)
+	for _, i := range []int{0, 1} {
+		if err := f.boxes[i].Drain(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	if err := f.boxes[4].Kill(); err != nil { // its claims are those of n3 and n4 now
+		t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	stop()
+	<-done
+	sums, wrong := load.Judge(f.effects())
+	for _, w := range wrong {
+		t.Error(w)
+	}
+	t.Logf("%+v", sums)
+	if sums.Served < 500 {
+		t.Error("too little was asked to tell anything")
+	}
+}
+
 var rounds = flag.Int("rounds", 2, "how often a box with claims in hand is killed to see how soon others have taken them over")
 
 // inHand is what became of reqs that a killed box had in hand, sent again at once to the others.
--- a/internal/boxwire/boxwire.go
+++ b/internal/boxwire/boxwire.go
@@ -14,6 +14,8 @@
 	"frosthub/takeover"
 )
 
+const listsMost = 8 // of a hello; two are in use
+
 // FrameMost is how many bytes of a frame are taken.
 const FrameMost = 8 << 20
 
@@ -27,6 +29,7 @@
 type Hello struct {
 	Cluster, From string
 	Life          uint64
+	Lists         []uint64 // digests of the lists of members that it goes by
 }
 
 // Batch is what one frame carries.
@@ -74,7 +77,11 @@
 	at := len(b)
 	b = append(b, 0, 0, 0, 0)
 	if h := batch.Hello; h != nil {
-		b = bytesField(b, 1, uintField(bytesField(bytesField(nil, 1, h.Cluster), 2, h.From), 3, h.Life))
+		x := uintField(bytesField(bytesField(nil, 1, h.Cluster), 2, h.From), 3, h.Life)
+		for _, d := range h.Lists {
+			x = protowire.AppendFixed64(protowire.AppendTag(x, 4, protowire.Fixed64Type), d)
+		}
+		b = part(b, 1, x)
 	}
 	var room [512]byte
 	for i := range batch.Members {
@@ -199,6 +206,10 @@
 					h.From = string(p)
 				case 3:
 					h.Life = v
+				case 4:
+					if len(h.Lists) < listsMost {
+						h.Lists = append(h.Lists, v)
+					}
 				}
 				return nil
 			})
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -233,41 +233,9 @@
 			return listens(v, "no address", func(net.IP) bool { return true })
 		}}}},
 	{Name: "cluster member", Many: true, Needs: "cluster name", Help: "a box of the cluster, this one too; the same lines for all boxes",
-		Args: []Arg{
-			{Name: "name", Kind: "a box's name, as in its platform's configuration", Set: func(c *Config, v string) error {
-				for _, m := range c.Cluster.Members {
-					if m.Name == v {
-						return errors.New("it is there already")
-					}
-				}
-				c.Cluster.Members = append(c.Cluster.Members, backend.ClusterMember{Member: takeover.Member{Name: v}})
-				return shortName(v)
-			}},
-			{Name: "address", Kind: "an address and a port, as 127.0.0.1:9700", Set: func(c *Config, v string) error {
-				c.lastMember().Address = v
-				if _, _, err := net.SplitHostPort(v); err != nil {
-					return errors.New("no address with a port")
-				}
-				return nil
-			}}},
-		Options: []Arg{
-			{Name: "zone", Kind: "the name of a zone", Set: func(c *Config, v string) error {
-				c.lastMember().Zone = v
-				return shortName(v)
-			}},
-			{Name: "weight", Kind: "a number from 1 to 1000", Set: func(c *Config, v string) error {
-				n, err := whole(v, 1, 1000)
-				c.lastMember().Weight = float64(n)
-				return err
-			}},
-			{Name: "processor", Kind: "an address and a port, as 127.0.0.1:6100", Set: func(c *Config, v string) error {
-				c.lastMember().Processor = v
-				if _, _, err := net.SplitHostPort(v); err != nil {
-					return errors.New("no address with a port")
-				}
-				return nil
-			}},
-		}},
+		Args: memberArgs(presentMembers), Options: memberOptions(presentMembers)},
+	{Name: "cluster former", Many: true, Needs: "cluster name", Help: "a box of the list before, while the members change: that list whole, as it was",
+		Args: memberArgs(formerMembers), Options: append(memberOptions(formerMembers), goneOption)},
 	{Name: "cluster promise", Needs: "cluster name", Help: "whether what a lost box held goes on although nobody asks for it again",
 		Args: []Arg{{Name: "word", Kind: "yes or no", Set: func(c *Config, v string) error {
 			if v != "yes" && v != "no" {
@@ -379,8 +347,64 @@
 
 var header = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9-]*$`)
 
-func (c *Config) lastMember() *backend.ClusterMember {
-	return &c.Cluster.Members[len(c.Cluster.Members)-1]
+// Lists of members that directives fill.
+func presentMembers(c *Config) *[]backend.ClusterMember { return &c.Cluster.Members }
+func formerMembers(c *Config) *[]backend.ClusterMember  { return &c.Cluster.Former }
+
+// memberArgs are the arguments of a directive that names a box.
+func memberArgs(of func(*Config) *[]backend.ClusterMember) []Arg {
+	return []Arg{
+		{Name: "name", Kind: "a box's name, as in its platform's configuration", Set: func(c *Config, v string) error {
+			list := of(c)
+			for _, m := range *list {
+				if m.Name == v {
+					return errors.New("it is there already")
+				}
+			}
+			*list = append(*list, backend.ClusterMember{Member: takeover.Member{Name: v}})
+			return shortName(v)
+		}},
+		{Name: "address", Kind: "an address and a port, as 127.0.0.1:9700", Set: func(c *Config, v string) error {
+			last(of(c)).Address = v
+			return withPort(v)
+		}}}
+}
+
+// memberOptions are the options of one.
+func memberOptions(of func(*Config) *[]backend.ClusterMember) []Arg {
+	return []Arg{
+		{Name: "zone", Kind: "the name of a zone", Set: func(c *Config, v string) error {
+			last(of(c)).Zone = v
+			return shortName(v)
+		}},
+		{Name: "weight", Kind: "a number from 1 to 1000", Set: func(c *Config, v string) error {
+			n, err := whole(v, 1, 1000)
+			last(of(c)).Weight = float64(n)
+			return err
+		}},
+		{Name: "processor", Kind: "an address and a port, as 127.0.0.1:6100", Set: func(c *Config, v string) error {
+			last(of(c)).Processor = v
+			return withPort(v)
+		}},
+	}
+}
+
+// goneOption is one of the list before.
+var goneOption = Arg{Name: "gone", Kind: "yes, where it never comes back", Set: func(c *Config, v string) error {
+	if v != "yes" {
+		return errors.New("not yes")
+	}
+	last(&c.Cluster.Former).Gone = true
+	return nil
+}}
+
+func last[T any](list *[]T) *T { return &(*list)[len(*list)-1] }
+
+func withPort(v string) error {
+	if _, _, err := net.SplitHostPort(v); err != nil {
+		return errors.New("no address with a port")
+	}
+	return nil
 }
 
 func shortName(v string) error {
--- a/internal/stand/box.go
+++ b/internal/stand/box.go
@@ -141,6 +141,14 @@
 	return fmt.Errorf("it does not listen: %s", b.Log())
 }
 
+// Reload has it read its operator's file anew, as it is now.
+func (b *Box) Reload() error {
+	if err := os.WriteFile(filepath.Join(b.Dir, "frosthub.conf"), []byte(b.Conf), 0o600); err != nil {
+		return err
+	}
+	return b.Signal(syscall.SIGHUP)
+}
+
 // Signal sends it one.
 func (b *Box) Signal(s os.Signal) error { return b.cmd.Process.Signal(s) }
 
--- a/members/members.go
+++ b/members/members.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -139,6 +140,24 @@
 	return l
 }
 
+// Move has others be those that may be there: new ones are not known yet, and what was believed of those who are no more is forgotten.
+func (l *List) Move(others []string) {
+	for _, name := range others {
+		if name != l.cfg.Name && l.peers[name] == nil {
+			l.peers[name] = &peer{Update: Update{Name: name}}
+		}
+	}
+	for name, p := range l.peers {
+		if !slices.Contains(others, name) {
+			delete(l.peers, name)
+			l.suspected = slices.DeleteFunc(l.suspected, func(q *peer) bool { return q == p })
+			l.probes = slices.DeleteFunc(l.probes, func(q probe) bool { return q.of == name })
+		}
+	}
+	l.order, l.next = slices.Sorted(maps.Keys(l.peers)), 0
+	l.news.fresh(l.cfg.Name)
+}
+
 // draw is a number under n, by xorshift from the seed.
 func (l *List) draw(n int) int {
 	l.chance ^= l.chance << 13
--- a/takeover/group.go
+++ b/takeover/group.go
@@ -12,9 +12,10 @@
 
 // Member is one box of a cluster, as the operators' files name it.
 type Member struct {
-	Name   string
-	Zone   string
-	Weight float64 // 1 if 0
+	Name   string  `json:"name"`
+	Zone   string  `json:"zone,omitempty"`
+	Weight float64 `json:"weight,omitempty"` // 1 if 0
+	Gone   bool    `json:"gone,omitempty"`   // of a list before: it never comes back
 }
 
 // Group gives the names of the boxes that note what becomes of a key, by weighted rendezvous hashing: who comes or goes moves only the
--- a/takeover/sim_test.go
+++ b/takeover/sim_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -37,12 +38,14 @@
 	lives    bool          // processors outlive their boxes
 	keys     map[keep.Key]*truth
 	ids      uint64
+	moved    int // boxes that came to the end of the change
 	runs     int
 	found    int64  // ends that lost boxes' processors told
 	replayed int    // repeats of replayable reqs that were answered from another's run
 	bad      string // the first broken rule
 	trace    []string
 
+	moves    bool // the members change meanwhile
 	history  []stand.Event
 	verdicts map[keep.Verdict]int
 	askedAt  map[uint64]time.Duration
@@ -86,7 +89,10 @@
 	waiting []keep.Write // handed over, not confirmed
 	ids     map[uint64]keep.Key
 	known   []uint64 // lives of others, as heard
-	ends    []ended  // what its processor knows, in this life and those before if it outlives them
+	roster  Roster   // on its disk
+	goes    []uint64 // its digests
+	told    map[string][]uint64
+	ends    []ended // what its processor knows, in this life and those before if it outlives them
 }
 
 // ended is a run that is over.
@@ -156,11 +162,12 @@
 		x.store.Load(r)
 	}
 	x.store.Restarted(x.w.now, false, 0)
-	var members []Member
-	for _, o := range x.w.boxes {
-		members = append(members, Member{Name: o.name, Zone: string('x' + rune(o.n%2))})
+	x.told = map[string][]uint64{}
+	if len(x.roster.Members) == 0 {
+		x.roster.Members = x.w.list(0)
 	}
-	x.b = New(Config{Name: x.name, Life: x.life, Members: members, Promise: true}, x.store, x, x.w.r.Uint64(), x.w.now)
+	x.goes = x.roster.Digests()
+	x.b = New(Config{Name: x.name, Life: x.life, Members: x.roster.Members, Before: x.roster.Before, Promise: true}, x.store, x, x.w.r.Uint64(), x.w.now)
 	x.tick()
 	x.flush()
 }
@@ -168,10 +175,57 @@
 func (x *box) tick() {
 	x.on(20*time.Millisecond, func() {
 		x.b.Tick(x.w.now)
+		if x.w.moves {
+			x.move()
+		}
 		x.tick()
 	})
 }
 
+// list is the one before the change of members, or the one after it.
+func (w *world) list(n int) (out []Member) {
+	for _, o := range w.boxes {
+		if !w.moves || n == 0 && o.n < len(w.boxes)-2 || n == 1 && o.n >= 2 {
+			out = append(out, Member{Name: o.name, Zone: string('x' + rune(o.n%2))})
+		}
+	}
+	return out
+}
+
+// done tells whether a box has come to the end of the change.
+func (w *world) done(x *box) bool {
+	return len(x.roster.Before) == 0 && x.roster.Members[0].Name != "a"
+}
+
+const moveWait = 400 * time.Millisecond // past the time that a req is asked for, and that its callers wait
+
+// move has a box go by other lists as soon as it may.
+func (x *box) move() {
+	w := x.w
+	if w.now < noon+100*time.Millisecond || w.done(x) {
+		return
+	}
+	told := func(name string) []uint64 { return x.told[name] }
+	if len(x.roster.Before) > 0 && x.roster.Since == 0 && len(x.roster.Behind(x.name, told)) == 0 {
+		x.roster.Since = w.now
+	}
+	to := Roster{Members: w.list(0)}
+	if w.now > noon+200*time.Millisecond+time.Duration(x.n)*20*time.Millisecond {
+		to = Roster{Members: w.list(1), Before: w.list(0)}
+	}
+	if x.roster.Since > 0 || off == ruleWait && len(x.roster.Before) > 0 {
+		to.Before = nil
+	}
+	if next, err := x.roster.Next(w.now, moveWait, to); err == nil && !slices.Equal(next.Digests(), x.goes) {
+		x.roster, x.goes = next, next.Digests()
+		x.b.Move(w.now, next.Members, next.Before)
+		w.log("%s/%d goes by %d and %d", x.name, x.life, len(next.Members), len(next.Before))
+		if len(next.Before) == 0 {
+			w.moved++
+		}
+	}
+}
+
 // flush carries out what the box wants.
 func (x *box) flush() {
 	w := x.w
@@ -215,7 +269,7 @@
 	if w.cut[[2]int{x.n, to}] || w.r.Float64() < w.loss {
 		return
 	}
-	life, m := x.life, s.Message
+	life, m, goes := x.life, s.Message, x.goes
 	times := 1
 	if w.r.Float64() < w.loss {
 		times = 2 // the same message again, later
@@ -232,6 +286,12 @@
 			}
 			y.on(0, func() {
 				y.known[x.n] = max(y.known[x.n], life)
+				if life == y.known[x.n] {
+					y.told[x.name] = goes
+				}
+				if !Meet(goes, y.goes) {
+					return
+				}
 				y.b.Receive(w.now, x.name, life, &m)
 			})
 		})
@@ -323,6 +383,11 @@
 func (w *world) ask() {
 	key := keep.Key{15: byte(w.r.IntN(12))}
 	key[14] = byte(w.seq / 4000)
+	left := time.Second
+	if w.moves { // nobody asks for it again after a while
+		key[14] = byte((w.now - noon) / (200 * time.Millisecond))
+		left = 300 * time.Millisecond
+	}
 	if w.keys[key] == nil {
 		w.keys[key] = &truth{replay: key[15] >= 9}
 	}
@@ -337,7 +402,7 @@
 		x.on(0, func() {
 			x.ids[id], w.askedAt[id] = key, w.now
 			w.log("%s/%d %x %d: asked", x.name, x.life, key[15], id)
-			x.b.Ask(w.now, key, 0, id, Work{Handler: "file-claim", Left: int64(time.Second), Replay: w.keys[key].replay})
+			x.b.Ask(w.now, key, 0, id, Work{Handler: "file-claim", Left: int64(left), Replay: w.keys[key].replay})
 		})
 	}
 }
@@ -409,13 +474,18 @@
 }
 
 // simulate plays a cluster for some seconds of its own time.
-func simulate(t testing.TB, seed uint64, span time.Duration) *world {
+func simulate(t testing.TB, seed uint64, span time.Duration, moves bool) *world {
 	r := rand.New(rand.NewPCG(seed, 5))
 	w := &world{t: t, r: r, seed: seed, now: noon, cut: map[[2]int]bool{}, keys: map[keep.Key]*truth{}, verdicts: map[keep.Verdict]int{},
 		askedAt: map[uint64]time.Duration{}}
 	w.loss, w.wrong = []float64{0, 0, 0.02, 0.1}[r.IntN(4)], []float64{0, 0.02, 0.3}[r.IntN(3)]
 	w.disk = []time.Duration{4 * time.Millisecond, 60 * time.Millisecond}[r.IntN(2)]
-	for i := range 3 + r.IntN(7) {
+	w.moves = moves
+	n := 3 + r.IntN(7)
+	if moves {
+		n = 5 + r.IntN(4)
+	}
+	for i := range n {
 		w.boxes = append(w.boxes, &box{w: w, n: i, name: string(rune('a' + i))})
 	}
 	for _, x := range w.boxes {
@@ -447,7 +517,7 @@
 func TestClusters(t *testing.T) {
 	verdicts, runs, asked, replayed, found := map[keep.Verdict]int{}, 0, 0, 0, int64(0)
 	for seed := range uint64(*schedules) {
-		w := simulate(t, seed, 1200*time.Millisecond)
+		w := simulate(t, seed, 1200*time.Millisecond, false)
 		if w.bad != "" {
 			for _, line := range w.trace {
 				t.Log(line)
@@ -476,17 +546,37 @@
 	}
 }
 
+// TestMembersChange: while boxes go over to another list one by one, under the same faults, no key runs twice.
+func TestMembersChange(t *testing.T) {
+	moved, runs := 0, 0
+	for seed := range uint64(*schedules / 8) {
+		w := simulate(t, seed, 2*time.Second, true)
+		if w.bad != "" {
+			for _, line := range w.trace {
+				t.Log(line)
+			}
+			t.Fatalf("seed %d: %s", seed, w.bad)
+		}
+		moved += w.moved
+		runs += w.runs
+	}
+	t.Logf("%d clusters, %d runs, %d boxes came to the end of the change", *schedules/8, runs, moved)
+	if moved == 0 {
+		t.Error("no box came to the end")
+	}
+}
+
 // TestRulesAreNeeded: with one of the rules switched off, the schedules of CI find a broken one.
 func TestRulesAreNeeded(t *testing.T) {
 	defer func() { off = 0 }()
 	for _, c := range []struct {
 		off  rule
 		name string
-	}{{ruleMajority, "majority"}, {ruleBallot, "ballot"}, {ruleBegun, "begun"}, {ruleDurable, "durable"}} {
+	}{{ruleMajority, "majority"}, {ruleBallot, "ballot"}, {ruleBegun, "begun"}, {ruleDurable, "durable"}, {ruleBefore, "list before"}, {ruleWait, "wait"}} {
 		off = c.off
 		found := false
 		for seed := uint64(0); seed < uint64(*schedules) && !found; seed++ {
-			if w := simulate(t, seed, 1200*time.Millisecond); w.bad != "" {
+			if w := simulate(t, seed, 1200*time.Millisecond, c.off >= ruleBefore); w.bad != "" {
 				found = true
 				t.Logf("%s off: seed %d: %s", c.name, seed, w.bad)
 			}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -221,6 +222,48 @@
 	id uint64
 }
 
+// Req is what this box has to do with one.
+type Req struct {
+	Key     string        `json:"key"`
+	Handler string        `json:"handler"`
+	Part    string        `json:"part"` // holds, waits, notes
+	Step    string        `json:"step"`
+	Holder  string        `json:"holder"`
+	Taken   bool          `json:"taken"` // over from another
+	Left    time.Duration `json:"left"`  // that its caller still waits, in nanoseconds
+}
+
+// Reqs are some of those that this box holds, waits for or has noted, by key.
+func (b *Box) Reqs(most int) []Req {
+	var out []Req
+	for _, c := range b.claims {
+		r := Req{fmt.Sprintf("%x", c.key), c.work.Handler, "holds", c.stage.String(), b.cfg.Name, c.taken, c.due - b.now}
+		if c.stage == waits || c.stage == peeking {
+			r.Part, r.Holder = "waits", c.votes["holder"].By.Box
+		}
+		out = append(out, r)
+	}
+	for _, n := range b.notes {
+		step := "held"
+		switch {
+		case n.over:
+			step = "answered"
+		case n.begun && n.durable:
+			step = "begun"
+		case n.begun:
+			step = "about to begin"
+		}
+		out = append(out, Req{fmt.Sprintf("%x", n.key), n.work.Handler, "notes", step, n.ballot.Box, false, n.due - b.now})
+	}
+	slices.SortFunc(out, func(x, y Req) int { return cmp.Or(cmp.Compare(x.Key, y.Key), cmp.Compare(x.Part, y.Part)) })
+	return out[:min(most, len(out))]
+}
+
+// String is the stage's word.
+func (s stage) String() string {
+	return [...]string{"asked for", "held", "about to begin", "begun", "ended", "waited for", "looked for"}[s]
+}
+
 // Processor is a lost box's processor that may know how runs ended that were begun there.
 type Processor struct {
 	Of     string
@@ -287,7 +330,7 @@
 		return g
 	}
 	g := [][]string{Group(b.cfg.Members, key, b.cfg.Size)}
-	if len(b.cfg.Before) > 0 {
+	if len(b.cfg.Before) > 0 && off != ruleBefore {
 		g = append(g, Group(b.cfg.Before, key, b.cfg.Size))
 	}
 	if len(b.groups) >= groupsKept {
@@ -807,6 +850,8 @@
 	ruleBallot                   // note a begin only under the ballot that was granted last
 	ruleBegun                    // grant no key that is noted as begun
 	ruleDurable                  // note it durably before saying so
+	ruleBefore                   // while the members change, ask the group of the list before as well
+	ruleWait                     // end a change only when all went by both lists for as long as anything is asked for again
 )
 
 var off rule
@@ -1358,5 +1403,12 @@
 	}
 }
 
+// Move has the box go by other lists from now on, as Roster.Next allows. What it holds it asks for again before it begins.
+func (b *Box) Move(now time.Duration, members, before []Member) {
+	b.now = max(b.now, now)
+	b.cfg.Members, b.cfg.Before = members, before
+	clear(b.groups)
+}
+
 // Leaving says that this box takes nothing over any more.
 func (b *Box) Leaving() { b.leaving = true }
