recovery: a box that comes back asks others whether its disk is all there was

A disk that is whole and older than what the box had was taken for all there was: its box said of keys that had run there that nothing is known, and with one more box of their group they could run again. Boxes now remember, on their own disks, how far each other's was (life, last record, four times a second); one that comes back asks before it takes part. Who was told more proves the disk older: that is written down (gap), the life is numbered above, and in its groups the box counts for neither side of a key that it does not know.

Seen in the test of five processes that lose power: a claim answered before was errored as in doubt. Checked: figures (kept-in-doubt), the histories, phases in the logs; ruled out: members that change, results that aged. Cause: decide (takeover.go) took the silence of an older disk for a word while the box with the result was still away. Now only who can tell counts, and until most have it is undecided (503).

--- a/backend/cluster.go
+++ b/backend/cluster.go
@@ -15,6 +15,7 @@
 	"frosthub/keep"
 	"frosthub/members"
 	"frosthub/overload"
+	"frosthub/recovery"
 	"frosthub/takeover"
 )
 
@@ -56,6 +57,10 @@
 	links map[string]*boxLink
 	life  uint64
 	next  time.Duration
+	store *keep.Store
+	way   *recovery.Box // back after a loss; nil until the store is read
+	mark  uint64        // of this process
+	known memory
 	parts [][]Part            // by handler: replayable ones that are taken over
 	asked map[string]*session // processors of lost boxes that are being asked
 
@@ -83,6 +88,7 @@
 	dialing   bool
 	dialAt    time.Duration
 	batch     boxwire.Batch // of this turn
+	ask       bool          // what it remembers of this box
 }
 
 var (
@@ -108,23 +114,23 @@
 	c.told = map[string][]uint64{}
 }
 
-// begin has the box take part, with the life that its store counts and the lists that it went by last.
-func (c *cluster) begin(store *keep.Store, l lists) {
+// begin has the box take part, with the life that its store counts.
+func (c *cluster) begin() {
 	b := c.b
-	c.life, c.lists = store.Stats().Life, l
-	r := l.roster()
-	c.goes = r.Digests()
+	c.life = c.store.Stats().Life
+	r := c.lists.roster()
 	c.pending = true // until it goes by those of its file
 	c.list = members.New(members.Config{Name: b.cfg.Name, Life: c.life, Every: probeEvery, Within: probeAnd}, b.cfg.Seed, b.now)
 	c.connect()
 	c.box = takeover.New(takeover.Config{Name: b.cfg.Name, Life: c.life, Members: r.Members, Before: r.Before, Promise: b.cfg.Cluster.Promise,
-		Bytes: int(min(b.share(noteShare), noteShare*memoryNone))}, store, c, b.cfg.Seed^1,
+		Bytes: int(min(b.share(noteShare), noteShare*memoryNone))}, c.store, c, b.cfg.Seed^1,
 		b.keeper.now())
-	b.log.Info("cluster", "name", b.cfg.Cluster.Name, "life", c.life, "members", len(l.Members), "before", len(l.Before))
+	b.log.Info("cluster", "name", b.cfg.Cluster.Name, "life", c.life, "members", len(r.Members), "before", len(r.Before))
 }
 
-// Alive and Life are what takeover is told of others. One that is only suspected is tried to be replaced: that harms nothing.
+// Alive, Gone and Life are what takeover is told of others. One that is only suspected is tried to be replaced: that harms nothing.
 func (c *cluster) Alive(name string) bool  { return c.list.Of(name).State == members.Alive }
+func (c *cluster) Gone(name string) bool   { return c.list.Of(name).State >= members.Dead }
 func (c *cluster) Life(name string) uint64 { return c.list.Of(name).Life }
 
 // take accepts the connection of another box.
@@ -132,15 +138,19 @@
 	b := c.b
 	from, life := "", uint64(0)
 	p := boxwire.NewParser(func(batch *boxwire.Batch) error {
-		if c.box == nil && batch.Hello == nil {
+		if c.way == nil && batch.Hello == nil {
 			return nil // not yet read: they ask again
 		}
-		if h := batch.Hello; h != nil && (from == "" || from == h.From && life == h.Life) {
-			if h.Cluster != b.cfg.Cluster.Name || c.links[h.From] == nil && c.box != nil {
+		if h := batch.Hello; h != nil && (from == "" || from == h.From) {
+			if h.Cluster != b.cfg.Cluster.Name || c.links[h.From] == nil && c.way != nil {
 				return fmt.Errorf("%w: %s of %s", errStranger, h.From, h.Cluster)
 			}
 			from, life = h.From, h.Life
 			c.told[from] = h.Lists
+			c.heard(h)
+		}
+		if from != "" && batch.Known != nil && c.way != nil {
+			c.way.Heard(b.now, from, *batch.Known)
 		}
 		switch {
 		case from == "":
@@ -176,6 +186,7 @@
 
 // lookAtTime does what is due.
 func (c *cluster) lookAtTime() {
+	c.lookBack()
 	if c.box == nil {
 		return
 	}
@@ -205,6 +216,7 @@
 
 // hand carries out what members and takeover want, and tells whether anything was done.
 func (c *cluster) hand() (any bool) {
+	c.follow()
 	if c.box == nil {
 		return false
 	}
@@ -283,11 +295,15 @@
 
 // flush writes a turn's batch to a box. What can't be sent is asked for again.
 func (c *cluster) flush(l *boxLink) {
-	if len(l.batch.Members)+len(l.batch.Claims) == 0 {
+	if len(l.batch.Members)+len(l.batch.Claims) == 0 && l.batch.Known == nil && !l.ask {
 		return
 	}
 	b := c.b
 	if l.c != nil {
+		if l.ask {
+			l.ask = false
+			l.c.Write(c.hello(true))
+		}
 		b.scratch = boxwire.Append(b.scratch[:0], &l.batch)
 		l.c.Write(b.scratch)
 	} else if !l.dialing && b.now >= l.dialAt {
@@ -310,7 +326,8 @@
 					l.c = nil
 				}
 			}
-			n.Write(c.hello())
+			n.Write(c.hello(l.ask))
+			l.ask = false
 		})
 	}
 	l.batch = boxwire.Batch{}
@@ -365,15 +382,18 @@
 
 // ClusterStats tell how a box sees its cluster, and what it has to do with the others.
 type ClusterStats struct {
-	Name    string         `json:"name"`
-	Life    uint64         `json:"life"`
-	Former  int            `json:"former"` // boxes of the list before, while the members change; 0 they don't
-	Since   string         `json:"since"`  // that all are known to go by both
-	Why     string         `json:"why"`    // it does not go by the lists of its file
-	Unwell  int            `json:"unwell"` // how slow this box takes itself to be, 0 to 8
-	Members []MemberStats  `json:"members"`
-	Work    takeover.Stats `json:"work"`
-	Reqs    []takeover.Req `json:"reqs"` // some of those that are held, waited for or noted
+	Name     string         `json:"name"`
+	Life     uint64         `json:"life"`
+	Former   int            `json:"former"` // boxes of the list before, while the members change; 0 they don't
+	Since    string         `json:"since"`  // that all are known to go by both
+	Why      string         `json:"why"`    // it does not go by the lists of its file
+	Phase    string         `json:"phase"`  // of its way back
+	PhaseWhy string         `json:"phase_why"`
+	Missing  []string       `json:"missing"` // while it asks: who has not answered
+	Unwell   int            `json:"unwell"`  // how slow this box takes itself to be, 0 to 8
+	Members  []MemberStats  `json:"members"`
+	Work     takeover.Stats `json:"work"`
+	Reqs     []takeover.Req `json:"reqs"` // some of those that are held, waited for or noted
 }
 
 // MemberStats are what is believed of a box.
@@ -389,11 +409,15 @@
 	var out *ClusterStats
 	b.ask(func() {
 		c := &b.cluster
-		if c.box == nil {
+		if c.way == nil {
 			return
 		}
 		out = &ClusterStats{Name: b.cfg.Cluster.Name, Life: c.life, Former: len(c.lists.Before), Since: c.allSince(), Why: c.why,
-			Unwell: c.list.Unwell(), Work: c.box.Stats(), Reqs: c.box.Reqs(reqsMost)}
+			Phase: c.way.Phase().String(), PhaseWhy: c.way.Why(), Missing: c.way.Missing()}
+		if c.box == nil {
+			return
+		}
+		out.Unwell, out.Work, out.Reqs = c.list.Unwell(), c.box.Stats(), c.box.Reqs(reqsMost)
 		for _, m := range c.list.All() {
 			goes := "unknown"
 			switch told := c.told[m.Name]; {
--- a/backend/cluster_test.go
+++ b/backend/cluster_test.go
@@ -18,6 +18,7 @@
 	"frosthub/internal/stand"
 	"frosthub/keep"
 	"frosthub/members"
+	"frosthub/recovery"
 	"frosthub/takeover"
 )
 
@@ -39,6 +40,38 @@
 	return strings.Contains(w.b.String(), text)
 }
 
+// remembersNothing answers as n1 whoever asks there what it remembers.
+func remembersNothing(ln net.Listener, to string) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			p := boxwire.NewParser(func(b *boxwire.Batch) error {
+				if b.Hello == nil || !b.Hello.Ask {
+					return nil
+				}
+				d, err := net.Dial("tcp", to)
+				if err != nil {
+					return err
+				}
+				_, err = d.Write(boxwire.Append(nil, &boxwire.Batch{Hello: &boxwire.Hello{Cluster: "north", From: "n1", Life: 1, Lists: b.Hello.Lists},
+					Known: &recovery.Answer{For: b.Hello.Mark}}))
+				return err
+			})
+			buf := make([]byte, 4<<10)
+			for {
+				n, err := c.Read(buf)
+				if err != nil || p.Feed(buf[:n]) != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
 // TestStrangers: who is not of the cluster, does not say who it is, or sends noise is closed, whatever it asks for; ballots of boxes that
 // nobody knows do no harm.
 func TestStrangers(t *testing.T) {
@@ -62,6 +95,13 @@
 	for _, name := range []string{"n1", "n2", "n3"} {
 		cfg.Cluster.Members = append(cfg.Cluster.Members, ClusterMember{Member: takeover.Member{Name: name}, Address: "127.0.0.1:1"})
 	}
+	other, err := net.Listen("tcp", "127.0.0.1:0") // n1, which tells what it remembers: nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = other.Close() }()
+	cfg.Cluster.Members[0].Address = other.Addr().String()
+	go remembersNothing(other, address[1])
 	var log written
 	b := New(cfg, slog.New(slog.NewTextHandler(&log, nil)))
 	ctx, stop := context.WithCancel(t.Context())
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -205,7 +205,8 @@
 	log   *keeplog.Writer
 	lock  *os.File
 	found keeplog.Found
-	lists lists // of a box of a cluster
+	lists lists // of a box of a cluster, as what follows
+	known memory
 	err   error
 }
 
@@ -227,6 +228,9 @@
 		if o.lists, o.err = readLists(cfg.Dir, *first); o.err != nil {
 			return o
 		}
+		if o.known, o.err = readMemory(cfg.Dir); o.err != nil {
+			return o
+		}
 	}
 	o.store = keep.New(cfg.Bounds)
 	n, last := 0, time.Now()
@@ -264,7 +268,7 @@
 		b.box.Post(func() { k.durable(seq, err) })
 	})
 	if b.cluster.on() {
-		b.cluster.begin(k.store, o.lists)
+		b.cluster.returns(k.store, o)
 	}
 	k.hand()
 	s := k.store.Stats()
@@ -339,13 +343,14 @@
 	r.guard.due = b.now - r.ev.Unread + b.handlers[r.h].timeout - answerBefore
 	var verdict keep.Verdict
 	switch {
-	case r.guard.replay && (k.store == nil || k.broken):
+	case r.guard.replay && (b.cluster.box == nil || k.broken):
 		r.guard = nil
 		b.keys.meet(r)
 		return true
-	case k.store != nil && !k.broken && b.cluster.on():
+	case k.store != nil && !k.broken && b.cluster.box != nil:
 		b.cluster.ask(r)
 		return false
+	case k.store != nil && !k.broken && b.cluster.on(): // it is not yet sure of what it has
 	case k.store != nil:
 		verdict = k.store.Look(k.now(), r.guard.made, r.guard.key)
 	case k.broken:
@@ -437,7 +442,7 @@
 // leave follows a req that no longer waits and never ran.
 func (k *keeper) leave(r *req) {
 	switch {
-	case r.guard == nil || k.store == nil:
+	case r.guard == nil || k.store == nil || k.b.cluster.on() && k.b.cluster.box == nil:
 	case k.b.cluster.on():
 		k.b.cluster.box.Leave(k.now(), r.guard.key, r.id)
 	case r.at >= joined:
--- /dev/null
+++ b/backend/return.go
@@ -0,0 +1,157 @@
+package backend
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/renameio/v2"
+
+	"frosthub/internal/boxwire"
+	"frosthub/keep"
+	"frosthub/recovery"
+)
+
+const (
+	memoryName  = "remembered.json"      // in the folder of the store: what this box remembers of the others
+	memoryEvery = 250 * time.Millisecond // between its writes, and between words of this box on how far its disk is: of twice that a loss is not found
+)
+
+// memory is what this box remembers of the others, and the state of its record.
+type memory struct {
+	*recovery.Memories
+	writing bool
+	nextAt  time.Duration
+	said    uint64 // the last record that others were told of
+}
+
+// readMemory gives what is remembered; nothing where the box is new.
+func readMemory(dir string) (memory, error) {
+	text, err := os.ReadFile(filepath.Join(dir, memoryName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return memory{Memories: recovery.Remember(true)}, nil
+	}
+	m := recovery.Remember(false)
+	if err == nil {
+		err = json.Unmarshal(text, m)
+	}
+	if err != nil {
+		return memory{}, fmt.Errorf("%s: %w", memoryName, err)
+	}
+	return memory{Memories: m}, nil
+}
+
+// returns begins a box's way back, once its store is read.
+func (c *cluster) returns(store *keep.Store, o openedStore) {
+	b := c.b
+	c.store, c.lists, c.known = store, o.lists, o.known
+	c.life, c.goes, c.mark = store.Stats().Life, c.lists.roster().Digests(), rand.Uint64()
+	c.connect()
+	c.way = recovery.New(recovery.Config{Mark: c.mark, Others: c.others(), Horizon: c.wait()}, c.mark)
+	c.way.Starts()
+	c.way.Read(b.now, recovery.Disk{Life: c.life, Seq: store.Last(), Fresh: c.life == 1})
+	c.follow()
+}
+
+// others are the boxes of the lists without this one.
+func (c *cluster) others() (names []string) {
+	for _, m := range c.lists.all() {
+		if m.Name != c.b.cfg.Name {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// follow does what the way back wants.
+func (c *cluster) follow() {
+	if c.way == nil {
+		return
+	}
+	b := c.b
+	again := false
+	for _, a := range c.way.Take() {
+		for _, name := range a.Ask {
+			if l := c.links[name]; l != nil {
+				l.ask = true
+			}
+		}
+		if a.Lost {
+			c.store.Older(b.keeper.now())
+			b.log.Error("store older than known", "life", c.life, "so", "what it does not have is not taken for fresh until the horizon has passed")
+		}
+		if a.Life > 0 {
+			if !c.store.Raise(a.Life) {
+				b.keeper.broken = true
+				b.log.Error("store older than known", "why", "a life that can't be counted", "known", a.Life, "so", "guarded reqs are refused in this life")
+			}
+			c.life = c.store.Stats().Life
+			again = c.box != nil
+		}
+		if a.Now != a.Was {
+			b.log.Info("recovery", "phase", a.Now.String(), "was", a.Was.String(), "why", a.Why)
+		}
+	}
+	if c.way.Sure() && (c.box == nil || again) {
+		c.begin()
+	}
+}
+
+// heard takes what a box says of itself, and answers what it asks.
+func (c *cluster) heard(h *boxwire.Hello) {
+	if c.way == nil {
+		return // it asks again
+	}
+	if h.Ask {
+		a := c.known.Answer(h.From, h.Mark)
+		c.links[h.From].batch.Known = &a
+	}
+	c.known.Hear(h.From, h.Mark, recovery.Memory{Life: h.Life, Seq: h.Seq})
+}
+
+// lookBack does what is due on the way back, tells others how far this box's disk is, and has what it remembers of them recorded.
+func (c *cluster) lookBack() {
+	if c.way == nil {
+		return
+	}
+	b := c.b
+	if at := c.way.Next(); b.now >= at {
+		c.way.Tick(b.now)
+	}
+	b.at(c.way.Next())
+	if b.now < c.known.nextAt {
+		b.at(c.known.nextAt)
+		return
+	}
+	c.known.nextAt = b.now + memoryEvery
+	b.at(c.known.nextAt)
+	if last := c.store.Last(); last != c.known.said {
+		c.known.said = last
+		for _, l := range c.links {
+			if l.c != nil {
+				l.c.Write(c.hello(false))
+			}
+		}
+	}
+	if c.known.writing || !c.known.Changed() {
+		return
+	}
+	c.known.writing = true
+	text, err := json.Marshal(c.known.Memories)
+	path := filepath.Join(b.cfg.Keep.Dir, memoryName)
+	go func() { // the disk may be slow
+		if err == nil {
+			err = renameio.WriteFile(path, text, 0o600)
+		}
+		b.box.Post(func() {
+			if c.known.writing = false; err != nil {
+				b.note("not remembered", "why", err)
+			}
+		})
+	}()
+}
--- a/backend/roster.go
+++ b/backend/roster.go
@@ -183,9 +183,10 @@
 	c.goes = r.Digests()
 	c.box.Move(b.keeper.now(), r.Members, r.Before)
 	c.connect()
+	c.way.Members(c.others())
 	for _, link := range c.links {
 		if link.c != nil {
-			link.c.Write(c.hello())
+			link.c.Write(c.hello(false))
 		}
 	}
 	b.log.Info("members", "now", len(l.Members), "before", len(l.Before), "all_since", c.allSince())
@@ -227,7 +228,9 @@
 		}
 		delete(c.told, name)
 	}
-	c.list.Move(names)
+	if c.list != nil {
+		c.list.Move(names)
+	}
 }
 
 // forget lets go of a box that is no member any more once it is taken for dead. One that leaves may still wait for the ends of its runs.
@@ -241,8 +244,8 @@
 }
 
 // hello is what a connection to another box begins with, and what it is told when the lists change.
-func (c *cluster) hello() []byte {
+func (c *cluster) hello(ask bool) []byte {
 	b := c.b
 	return boxwire.Append(nil, &boxwire.Batch{Hello: &boxwire.Hello{Cluster: b.cfg.Cluster.Name, From: b.cfg.Name, Life: c.life,
-		Lists: c.goes}})
+		Lists: c.goes, Seq: c.store.Last(), Mark: c.mark, Ask: ask}})
 }
--- a/cmd/frosthub/takeover_test.go
+++ b/cmd/frosthub/takeover_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
+	"io/fs"
 	"math/rand/v2"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -44,8 +47,8 @@
 		if clustered {
 			f.joins(i, all, nil)
 		}
-		f.start(i)
 	}
+	f.start(all...)
 	return f
 }
 
@@ -408,6 +411,98 @@
 	}
 }
 
+// TestPowerLost has all boxes of five lose power in one moment under load, with their processors, again and again; one comes back late and one with
+// an older copy of its disk. It is found out, no claim runs twice, and what was answered is answered alike.
+func TestPowerLost(t *testing.T) {
+	f := newFleetRig(t, 5, 6*time.Millisecond, true)
+	defer f.end()
+	r := rand.New(rand.NewPCG(4, 4))
+	load := &stand.Claims{Handler: "file-claim", Callers: 30, Repeats: 2, Late: 0.5, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 6}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		load.Run(ctx, 6, func(n uint64) stand.Asker { return f.fc[n>>40%5] })
+	}()
+	older := 0
+	for range *losses {
+		copied, late := r.IntN(5), r.IntN(5)
+		store, aside := filepath.Join(f.boxes[copied].Dir, "keep"), filepath.Join(t.TempDir(), "copy")
+		copyFiles(t, aside, store) // as of a running box: a torn end is as a crash leaves it
+		time.Sleep(1500 * time.Millisecond)
+		for i, b := range f.boxes {
+			if err := b.Kill(); err != nil {
+				t.Fatal(err)
+			}
+			f.ps[i].Reset()
+		}
+		if err := os.RemoveAll(store); err != nil {
+			t.Fatal(err)
+		}
+		copyFiles(t, store, aside)
+		before := len(f.boxes[copied].Log())
+		order := r.Perm(5)
+		for _, i := range order {
+			if i != late {
+				time.Sleep(time.Duration(r.IntN(150)) * time.Millisecond)
+				if err := f.boxes[i].Start(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		time.Sleep(800 * time.Millisecond)
+		if err := f.boxes[late].Start(); err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if strings.Contains(f.boxes[copied].Log()[before:], "store older than known") {
+				older++
+				break
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	stop()
+	<-done
+	sums, wrong := load.Judge(f.effects())
+	for _, w := range wrong {
+		t.Error(w)
+	}
+	t.Logf("%+v; %d of %d older disks found out", sums, older, *losses)
+	if sums.Served < 100*(*losses) || older < *losses {
+		t.Error("too little was asked, or an older disk was trusted")
+		for _, b := range f.boxes {
+			t.Log(b.Log())
+		}
+	}
+}
+
+// copyFiles copies those of a folder that stay there meanwhile.
+func copyFiles(t *testing.T, to, from string) {
+	t.Helper()
+	all, err := os.ReadDir(from)
+	if err == nil {
+		err = os.MkdirAll(to, 0o700)
+	}
+	for _, file := range all {
+		text, err := os.ReadFile(filepath.Join(from, file.Name()))
+		if errors.Is(err, fs.ErrNotExist) {
+			continue
+		}
+		if err == nil {
+			err = os.WriteFile(filepath.Join(to, file.Name()), text, 0o600)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+var losses = flag.Int("losses", 3, "how often all boxes lose power at once")
+
 var rounds = flag.Int("rounds", 2, "how often a box with claims in hand is killed to see how soon others have taken them over")
 
 // inHand is what became of reqs that a killed box had in hand, sent again at once to the others.
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -53,12 +53,15 @@
 	keptMet  = prometheus.NewDesc("frosthub_keep_verdicts_total", "Reqs that met what is kept, by verdict.", []string{"verdict"}, nil)
 	keptDisk = prometheus.NewDesc("frosthub_keep_commits_total", "Commits that the disk confirmed.", nil, nil)
 	keptLog  = prometheus.NewDesc("frosthub_keep_records_total", "Records in them.", nil, nil)
+	boxes    = prometheus.NewDesc("frosthub_cluster_members", "Boxes of the cluster as this one sees them, by state.", []string{"state"}, nil)
+	boxReqs  = prometheus.NewDesc("frosthub_cluster_reqs", "Reqs held, waited for, noted for others, and of those begun.", []string{"part"}, nil)
+	boxMet   = prometheus.NewDesc("frosthub_cluster_total", "Reqs taken over, lost to others, joined, in doubt, and ends found.", []string{"what"}, nil)
 	life     = prometheus.NewDesc("frosthub_figures_life", "Number of the present life.", nil, nil)
 )
 
 func (c collector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{taken, closed, open, customer, differs, recorded, life, keptKeys, keptSize, keptGood,
-		keptMet, keptDisk, keptLog} {
+		keptMet, keptDisk, keptLog, boxes, boxReqs, boxMet} {
 		out <- d
 	}
 }
@@ -93,6 +96,22 @@
 	if n := len(r.Lives); n > 0 {
 		gauge(life, float64(r.Lives[n-1].Number))
 	}
+	if s := c.of.ClusterStats(); s != nil {
+		states := map[string]int{}
+		for _, m := range s.Members {
+			states[m.State]++
+		}
+		for state, n := range states {
+			gauge(boxes, float64(n), state)
+		}
+		for part, n := range map[string]int{"holds": s.Work.Held, "waits": s.Work.Waiting, "notes": s.Work.Notes, "begun": s.Work.Begun} {
+			gauge(boxReqs, float64(n), part)
+		}
+		for what, n := range map[string]int64{"taken": s.Work.Taken, "lost": s.Work.Lost, "joined": s.Work.Joined, "in-doubt": s.Work.InDoubt,
+			"found": s.Work.Found} {
+			count(boxMet, n, what)
+		}
+	}
 	k := c.of.KeepStats()
 	if k == nil {
 		return
--- a/internal/boxwire/boxwire.go
+++ b/internal/boxwire/boxwire.go
@@ -11,6 +11,7 @@
 
 	"frosthub/keep"
 	"frosthub/members"
+	"frosthub/recovery"
 	"frosthub/takeover"
 )
 
@@ -30,6 +31,9 @@
 	Cluster, From string
 	Life          uint64
 	Lists         []uint64 // digests of the lists of members that it goes by
+	Seq           uint64   // its last durable record
+	Mark          uint64   // drawn anew by each process
+	Ask           bool     // what do you remember of me?
 }
 
 // Batch is what one frame carries.
@@ -37,6 +41,7 @@
 	Hello   *Hello
 	Members []members.Message
 	Claims  []takeover.Message
+	Known   *recovery.Answer
 }
 
 func uintField(b []byte, n protowire.Number, v uint64) []byte {
@@ -53,11 +58,15 @@
 	return uintField(b, n, 1)
 }
 
-func doubleField(b []byte, n protowire.Number, v float64) []byte {
+func fixedField(b []byte, n protowire.Number, v uint64) []byte {
 	if v == 0 {
 		return b
 	}
-	return protowire.AppendFixed64(protowire.AppendTag(b, n, protowire.Fixed64Type), math.Float64bits(v))
+	return protowire.AppendFixed64(protowire.AppendTag(b, n, protowire.Fixed64Type), v)
+}
+
+func doubleField(b []byte, n protowire.Number, v float64) []byte {
+	return fixedField(b, n, math.Float64bits(v))
 }
 
 func bytesField[T ~string | ~[]byte](b []byte, n protowire.Number, v T) []byte {
@@ -81,7 +90,8 @@
 		for _, d := range h.Lists {
 			x = protowire.AppendFixed64(protowire.AppendTag(x, 4, protowire.Fixed64Type), d)
 		}
-		b = part(b, 1, x)
+		x = uintField(x, 5, h.Seq)
+		b = part(b, 1, boolField(fixedField(x, 6, h.Mark), 7, h.Ask))
 	}
 	var room [512]byte
 	for i := range batch.Members {
@@ -90,6 +100,9 @@
 	for i := range batch.Claims {
 		b = part(b, 3, appendClaim(room[:0], &batch.Claims[i]))
 	}
+	if k := batch.Known; k != nil {
+		b = part(b, 4, fixedField(boolField(uintField(uintField(nil, 1, k.Life), 2, k.Seq), 3, k.Blank), 4, k.For))
+	}
 	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
 	return b
 }
@@ -210,6 +223,12 @@
 					if len(h.Lists) < listsMost {
 						h.Lists = append(h.Lists, v)
 					}
+				case 5:
+					h.Seq = v
+				case 6:
+					h.Mark = v
+				case 7:
+					h.Ask = v == 1
 				}
 				return nil
 			})
@@ -221,6 +240,22 @@
 			m, err := parseClaim(p)
 			batch.Claims = append(batch.Claims, m)
 			return err
+		case 4:
+			k := &recovery.Answer{}
+			batch.Known = k
+			return fields(p, func(n protowire.Number, v uint64, _ []byte) error {
+				switch n {
+				case 1:
+					k.Life = v
+				case 2:
+					k.Seq = v
+				case 3:
+					k.Blank = v == 1
+				case 4:
+					k.For = v
+				}
+				return nil
+			})
 		}
 		return nil
 	})
--- a/internal/boxwire/boxwire_test.go
+++ b/internal/boxwire/boxwire_test.go
@@ -7,10 +7,12 @@
 
 	"frosthub/keep"
 	"frosthub/members"
+	"frosthub/recovery"
 	"frosthub/takeover"
 )
 
-var whole = Batch{Hello: &Hello{"north", "n1", 3, []uint64{5, 0}},
+var whole = Batch{Hello: &Hello{"north", "n1", 3, []uint64{5, 0}, 70, 9, true},
+	Known:   &recovery.Answer{Memory: recovery.Memory{Life: 4, Seq: 11}, For: 9, Blank: true},
 	Members: []members.Message{{Kind: members.Ping, Number: 7, For: "n2", Updates: []members.Update{{Name: "n3", Life: 2, Incarnation: 5, State: members.Dead}, {}}}},
 	Claims: []takeover.Message{{Kind: takeover.Open, Key: keep.Key{1, 2, 15: 9}, Ballot: takeover.Ballot{N: 8, Box: "n1", Life: 3}, Force: true, Made: 5,
 		Vote: takeover.Running, By: takeover.Ballot{N: 4, Box: "n2", Life: 1}, End: keep.Result, Result: []byte("filed"),
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -47,7 +47,8 @@
 	}
 	c.PersistentFlags().StringVar(&conf, "conf", os.Getenv(confName), "the operator's file")
 	c.AddCommand(&cobra.Command{Use: "serve", Short: "Serve as one backend until SIGTERM", Args: cobra.NoArgs, RunE: serve},
-		checkCommand(), figuresCommand(), keepCommand(&conf), clusterCommand())
+		checkCommand(), figuresCommand(), keepCommand(&conf))
+	c.AddCommand(clusterCommands()...)
 	return c
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -19,6 +19,7 @@
 	"frosthub/internal/figures"
 	"frosthub/internal/keeplog"
 	"frosthub/keep"
+	"frosthub/takeover"
 )
 
 // run runs a command and gives its output with the folder's name taken out.
@@ -216,7 +217,8 @@
 func (s source) FiguresRecorded() bool   { return true }
 func (s source) ClusterStats() *backend.ClusterStats {
 	return &backend.ClusterStats{Name: "north", Life: 2,
-		Members: []backend.MemberStats{{Name: "n1", Life: 2, State: "alive"}, {Name: "n2", Life: 7, State: "suspected"}}}
+		Members: []backend.MemberStats{{Name: "n1", Life: 2, State: "alive", Goes: "as here"}, {Name: "n2", Life: 7, State: "suspected", Goes: "unknown"}}, Reqs: []takeover.Req{
+			{Key: "00112233445566778899aabbccddeeff", Handler: "file-claim", Part: "notes", Step: "begun", Holder: "n2", Left: 1500 * time.Millisecond}}}
 }
 func (s source) KeepStats() *backend.KeepStats { return nil }
 
@@ -245,6 +247,10 @@
 		}
 	}
 	want := []string{
+		`frosthub_cluster_members{state="alive"} 1`, `frosthub_cluster_members{state="suspected"} 1`,
+		`frosthub_cluster_reqs{part="begun"} 0`, `frosthub_cluster_reqs{part="holds"} 0`, `frosthub_cluster_reqs{part="notes"} 0`,
+		`frosthub_cluster_reqs{part="waits"} 0`, `frosthub_cluster_total{what="found"} 0`, `frosthub_cluster_total{what="in-doubt"} 0`,
+		`frosthub_cluster_total{what="joined"} 0`, `frosthub_cluster_total{what="lost"} 0`, `frosthub_cluster_total{what="taken"} 0`,
 		`frosthub_customer_reqs_total{customer="4",figure="failed"} 1`,
 		`frosthub_customer_reqs_total{customer="4",figure="refused"} 2`,
 		`frosthub_customer_reqs_total{customer="4",figure="served"} 2`,
@@ -261,8 +267,17 @@
 		t.Error(diff)
 	}
 	out, _, err := run("-", "cluster", "--admin", address)
-	if want := "cluster north, life 2\n  member  life      state\n      n1     2      alive\n      n2     7  suspected\n" +
-		"holds 0, waits for 0 of others, notes 0 for others (0 begun); taken over 0, lost to others 0, joined 0, in doubt 0\n"; err != nil || out != want {
+	members := "cluster north, life 2\n  member  life      state    lists\n      n1     2      alive  as here\n      n2     7  suspected  unknown\n"
+	work := "holds 0, waits for 0 of others, notes 0 for others (0 begun); taken over 0, lost to others 0, joined 0, in doubt 0, " +
+		"ends from lost boxes' processors 0\n"
+	if err != nil || out != members+work {
+		t.Error(out, err)
+	}
+	if out, _, err := run("-", "members", "--admin", address); err != nil || out != members {
+		t.Error(out, err)
+	}
+	if out, _, err := run("-", "takeover", "--admin", address); err != nil || out != work+
+		"key           handler     part   step   holder  time left  taken over\n001122334455  file-claim  notes  begun  n2      1.5s       \n" {
 		t.Error(out, err)
 	}
 	if _, _, err := run("-", "cluster"); err == nil {
--- a/internal/cli/cluster.go
+++ b/internal/cli/cluster.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"text/tabwriter"
 	"time"
@@ -13,54 +14,105 @@
 	"frosthub/backend"
 )
 
-const askFor = 3 * time.Second // a box on this machine
+const (
+	askFor   = 3 * time.Second // a box on this machine
+	keyShown = 12              // digits of a key: enough to tell those apart that are in hand
+)
+
+// clusterCommands are those that ask a running box about its cluster.
+func clusterCommands() []*cobra.Command {
+	return []*cobra.Command{
+		boxCommand("cluster", "Show how a running box sees its cluster, and what it holds and took over", func(out io.Writer, s *backend.ClusterStats) error {
+			if err := printMembers(out, s); err != nil {
+				return err
+			}
+			printWork(out, s)
+			return nil
+		}),
+		boxCommand("members", "Show which boxes a running box takes for alive, and by which lists they go", printMembers),
+		boxCommand("takeover", "Show the reqs that a running box holds, waits for, or has noted for others", func(out io.Writer, s *backend.ClusterStats) error {
+			printWork(out, s)
+			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+			fmt.Fprintln(w, "key\thandler\tpart\tstep\tholder\ttime left\ttaken over")
+			for _, r := range s.Reqs {
+				taken := ""
+				if r.Taken {
+					taken = "yes"
+				}
+				fmt.Fprintf(w, "%.*s\t%s\t%s\t%s\t%s\t%s\t%s\n", keyShown, r.Key, r.Handler, r.Part, r.Step, r.Holder, r.Left.Round(time.Millisecond), taken)
+			}
+			return w.Flush()
+		}),
+	}
+}
 
-func clusterCommand() *cobra.Command {
+func boxCommand(use, short string, show func(io.Writer, *backend.ClusterStats) error) *cobra.Command {
 	var address string
 	var asJSON bool
 	c := &cobra.Command{
-		Use:   "cluster",
-		Short: "Show how a running box sees its cluster, and what it holds and took over",
+		Use:   use,
+		Short: short,
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if address == "" {
-				return errors.New("--admin: the address of the box's \"admin listen\"")
-			}
-			client := http.Client{Timeout: askFor}
-			r, err := client.Get("http://" + address + "/cluster")
+			s, err := askCluster(address)
 			if err != nil {
 				return err
 			}
-			defer func() { _ = r.Body.Close() }()
-			var s *backend.ClusterStats
-			if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
-				return fmt.Errorf("%s: not understood: %w", address, err)
-			}
-			if s == nil {
-				return fmt.Errorf("%s: no cluster there, or its store is still being read", address)
-			}
-			out := c.OutOrStdout()
 			if asJSON {
-				e := json.NewEncoder(out)
+				e := json.NewEncoder(c.OutOrStdout())
 				e.SetIndent("", "  ")
 				return e.Encode(s)
 			}
-			fmt.Fprintf(out, "cluster %s, life %d\n", s.Name, s.Life)
-			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-			fmt.Fprintln(w, "member\tlife\tstate\t")
-			for _, m := range s.Members {
-				fmt.Fprintf(w, "%s\t%d\t%s\t\n", m.Name, m.Life, m.State)
-			}
-			if err := w.Flush(); err != nil {
-				return err
-			}
-			k := s.Work
-			fmt.Fprintf(out, "holds %d, waits for %d of others, notes %d for others (%d begun); taken over %d, lost to others %d, joined %d, in doubt %d\n",
-				k.Held, k.Waiting, k.Notes, k.Begun, k.Taken, k.Lost, k.Joined, k.InDoubt)
-			return nil
+			return show(c.OutOrStdout(), s)
 		},
 	}
 	c.Flags().StringVar(&address, "admin", "", "the address of the box's \"admin listen\"")
 	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
 	return c
 }
+
+// askCluster asks a box how it sees its cluster.
+func askCluster(address string) (*backend.ClusterStats, error) {
+	if address == "" {
+		return nil, errors.New("--admin: the address of the box's \"admin listen\"")
+	}
+	client := http.Client{Timeout: askFor}
+	r, err := client.Get("http://" + address + "/cluster")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = r.Body.Close() }()
+	var s *backend.ClusterStats
+	if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
+		return nil, fmt.Errorf("%s: not understood: %w", address, err)
+	}
+	if s == nil {
+		return nil, fmt.Errorf("%s: no cluster there, or its store is still being read", address)
+	}
+	return s, nil
+}
+
+func printMembers(out io.Writer, s *backend.ClusterStats) error {
+	fmt.Fprintf(out, "cluster %s, life %d\n", s.Name, s.Life)
+	switch {
+	case s.Former > 0 && s.Since == "":
+		fmt.Fprintf(out, "members change: by both lists (%d boxes before), not all others yet\n", s.Former)
+	case s.Former > 0:
+		fmt.Fprintf(out, "members change: by both lists (%d boxes before), all others since %s\n", s.Former, s.Since)
+	}
+	if s.Why != "" {
+		fmt.Fprintf(out, "its file says otherwise: %s\n", s.Why)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "member\tlife\tstate\tlists\t")
+	for _, m := range s.Members {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t\n", m.Name, m.Life, m.State, m.Goes)
+	}
+	return w.Flush()
+}
+
+func printWork(out io.Writer, s *backend.ClusterStats) {
+	k := s.Work
+	fmt.Fprintf(out, "holds %d, waits for %d of others, notes %d for others (%d begun); taken over %d, lost to others %d, joined %d, in doubt %d, "+
+		"ends from lost boxes' processors %d\n", k.Held, k.Waiting, k.Notes, k.Begun, k.Taken, k.Lost, k.Joined, k.InDoubt, k.Found)
+}
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -35,6 +35,7 @@
 const (
 	falseHits   = 1e-5 // share of fresh keys that meet a print of another, of each segment, and are not run
 	spans       = 8    // segments that a horizon is cut into at least: what is dropped is old for so much of it
+	raiseMost   = 1e4  // lives that are counted at once: a number beyond is no life's
 	recordBytes = 40   // of a record beside its result: what counts against SegmentBytes
 )
 
@@ -52,6 +53,7 @@
 	Life     Kind = 7  // a process begins
 	Accepted Kind = 8  // an operator answers for it that all from before is known
 	Drop     Kind = 9  // the prints of a segment may go
+	Gap      Kind = 11 // more was there than the disk had: what was made before that can't be proved fresh
 	Retire   Kind = 10 // all keys of a segment have aged: its prints take its place; no record
 )
 
@@ -629,6 +631,9 @@
 	case Accepted:
 		s.accept()
 		return
+	case Gap:
+		s.Hole(w.At)
+		return
 	}
 	g.add(w.Kind, w.At, len(w.Data))
 	e := s.entries[w.Key]
@@ -709,6 +714,29 @@
 	s.write(Write{Kind: Life})
 }
 
+// Older says that others know of more than this store had when this life began: what was made before now and is not remembered can't be
+// proved fresh, in later lives neither.
+func (s *Store) Older(now time.Duration) {
+	s.clock(now)
+	s.Hole(s.now)
+	s.write(Write{Kind: Gap})
+}
+
+// Raise has this life be numbered at least so. Numbers are counted by records, so it takes no more than it may write.
+func (s *Store) Raise(life uint64) bool {
+	if life > s.life+raiseMost {
+		return false
+	}
+	for s.life < life {
+		s.life++
+		s.write(Write{Kind: Life})
+	}
+	return true
+}
+
+// Last is the number of the last record that is on the disk.
+func (s *Store) Last() uint64 { return s.durable }
+
 // Accept says that an operator answers for what can't be known: all that is not remembered is fresh again.
 func (s *Store) Accept(now time.Duration) {
 	s.clock(now)
@@ -742,7 +770,7 @@
 // String is the kind's word.
 func (k Kind) String() string {
 	words := [...]string{Intent: "intent", Result: "result", Failed: "failed", Never: "never", Long: "too long", Open: "open", Life: "life",
-		Accepted: "accepted", Drop: "drop", Retire: "retire"}
+		Accepted: "accepted", Drop: "drop", Retire: "retire", Gap: "gap"}
 	if int(k) >= len(words) || words[k] == "" {
 		return "unknown"
 	}
--- /dev/null
+++ b/recovery/memory.go
@@ -0,0 +1,75 @@
+package recovery
+
+import "slices"
+
+const pastMost = 8 // processes of a box before its last that are told from it
+
+// told is what another box has said of itself.
+type told struct {
+	Memory
+	Mark   uint64   `json:"mark"`   // of its process: drawn anew by each
+	Before Memory   `json:"before"` // the highest that processes before that one said
+	Past   []uint64 `json:"past"`   // their marks
+}
+
+// Memories is what a box remembers of the others. Make it with Remember.
+type Memories struct {
+	Of      map[string]*told `json:"of"`
+	blank   bool             // from this process alone
+	changed bool
+}
+
+// Remember returns an empty one. blank: nothing is there from before this process.
+func Remember(blank bool) *Memories { return &Memories{Of: map[string]*told{}, blank: blank} }
+
+// Changed tells whether there is anything new since the last call.
+func (m *Memories) Changed() bool {
+	c := m.changed
+	m.changed = false
+	return c
+}
+
+func highest(x, y Memory) Memory {
+	if x.Covers(y) {
+		return x
+	}
+	return y
+}
+
+// Hear takes what a box says of itself. Only ever the highest is kept: of its present process, and of those before.
+func (m *Memories) Hear(name string, mark uint64, says Memory) {
+	t := m.Of[name]
+	switch {
+	case t == nil:
+		m.Of[name] = &told{Memory: says, Mark: mark}
+	case t.Mark == mark && t.Covers(says):
+		return
+	case t.Mark == mark:
+		t.Memory = says
+	case slices.Contains(t.Past, mark): // late words of a process that is no more
+		if t.Before.Covers(says) {
+			return
+		}
+		t.Before = says
+	default:
+		t.Past = append(t.Past, t.Mark)
+		t.Past = t.Past[max(0, len(t.Past)-pastMost):]
+		t.Before = highest(t.Before, t.Memory)
+		t.Memory, t.Mark = says, mark
+	}
+	m.changed = true
+}
+
+// Answer is what a box's process is told that asks: what those before it said.
+func (m *Memories) Answer(name string, mark uint64) Answer {
+	a := Answer{For: mark}
+	switch t := m.Of[name]; {
+	case t == nil:
+		a.Blank = m.blank
+	case t.Mark == mark:
+		a.Memory, a.Blank = t.Before, m.blank && t.Before == Memory{}
+	default:
+		a.Memory = highest(t.Before, t.Memory)
+	}
+	return a
+}
--- a/takeover/sim_test.go
+++ b/takeover/sim_test.go
@@ -111,6 +111,7 @@
 	}
 	return right
 }
+func (x *box) Gone(name string) bool   { return !x.Alive(name) }
 func (x *box) Life(name string) uint64 { return x.known[name[0]-'a'] }
 
 func (w *world) after(d time.Duration, do func()) {
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -39,6 +39,7 @@
 	notesUsual   = 4096
 	inHandUsual  = 64 // some turns of a box's cores: more would wait in its line instead of with others who may do it sooner
 	bytesUsual   = 1 << 20
+	replayWait   = 50 * time.Millisecond  // for the group of a replayable req: then it is served as without a cluster
 	joinShare    = 0.25                   // of its time that a replayable req waits for another's run before it is run anyway
 	rankWait     = 150 * time.Millisecond // that each box of a group gives the one before it
 	doubtAfter   = 30 * time.Second       // past its time a begun one without an end is in doubt for good
@@ -126,6 +127,7 @@
 // Peers tells what is believed of boxes.
 type Peers interface {
 	Alive(name string) bool
+	Gone(name string) bool   // it is believed dead, not merely silent for a moment
 	Life(name string) uint64 // 0 not known
 }
 
@@ -1049,9 +1051,10 @@
 			full = true
 		}
 	}
-	every := b.most(c.key, func(name string) bool { _, ok := c.votes[name]; return ok })
-	if every && b.now-c.since < b.cfg.Patient/4 { // some may still say more
-		every = len(c.votes) == len(b.all(c.key)) || !doubted && !gone && (by == nil || by.Vote != Running)
+	all := len(c.votes) == len(b.all(c.key))
+	every := all || b.most(c.key, func(name string) bool { m, ok := c.votes[name]; return ok && m.Vote != Silent }) // who can't tell counts for none
+	if every && b.now-c.since < b.cfg.Patient/4 {                                                                   // some may still say more
+		every = all || !doubted && !gone && (by == nil || by.Vote != Running)
 	}
 	switch {
 	case over != nil:
@@ -1081,7 +1084,7 @@
 	case len(c.votes) < len(b.all(c.key)) && b.now-c.since < b.cfg.Patient: // who has not answered may help
 	case c.stage == opening:
 		v := Undecided
-		if silent {
+		if silent && all {
 			v = keep.Blind
 		} else if full {
 			v = keep.NoRoom
@@ -1241,6 +1244,10 @@
 	again := b.now-c.sent >= b.cfg.Again
 	switch c.stage {
 	case opening:
+		if c.replay && b.now-c.since >= replayWait {
+			b.refuse(c, keep.Fresh)
+			return
+		}
 		if b.now-c.since >= b.cfg.Patient {
 			b.decide(c)
 			if b.claims[c.key] == c && c.stage == opening && b.now-c.since >= b.cfg.Patient {
@@ -1389,6 +1396,9 @@
 	if c != nil && c.stage != waits && c.stage != peeking || b.leaving || !b.cfg.Promise && c == nil && len(n.waiting) == 0 {
 		return
 	}
+	if n.replay && len(n.waiting) == 0 && c == nil && !b.peers.Gone(n.ballot.Box) {
+		return // one that is only slow runs it itself: nothing would stop both
+	}
 	rank := 0
 	for _, name := range b.all(key) {
 		if name == b.cfg.Name {
