--- a/account/encode.go
+++ b/account/encode.go
@@ -261,7 +261,7 @@
 	}
 	b.handlers = handlers
 	b.lay()
-	b.periods.init(cfg, len(b.cells))
+	b.periods.init(b.cfg, len(b.cells))
 	if next < first || next-first > uint64(cfg.Periods) {
 		return nil, wrong("periods %d to %d of %d", first, next, cfg.Periods)
 	}
--- a/backend/cluster.go
+++ b/backend/cluster.go
@@ -26,6 +26,8 @@
 	Members []ClusterMember
 	Former  []ClusterMember   // while the members change: the list before
 	Promise bool              // what was held goes on although nobody asks for it again
+	Wait    time.Duration     // for all that may know more than this box's disk, after a start; then most of them do; 0 as usual
+	Alone   time.Duration     // and for most of them; 0 as usual
 	Replays map[string][]Part // handlers whose reqs may run again and are taken over too, and what their keys are made of
 }
 
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -205,6 +205,7 @@
 	log   *keeplog.Writer
 	lock  *os.File
 	found keeplog.Found
+	aside bool  // its records are as lost
 	lists lists // of a box of a cluster, as what follows
 	known memory
 	err   error
@@ -232,6 +233,14 @@
 			return o
 		}
 	}
+	if o.aside, o.err = keeplog.Try(disk); o.err != nil {
+		return o
+	}
+	defer func() {
+		if err := keeplog.Tried(disk); o.err == nil {
+			o.err = err
+		}
+	}()
 	o.store = keep.New(cfg.Bounds)
 	n, last := 0, time.Now()
 	o.log, o.found, o.err = keeplog.Start(disk, box, o.store, now, func(keep.Write) error {
@@ -260,6 +269,10 @@
 		b.log.Error("keep", "dir", dir, "why", o.err, "so", "guarded reqs are refused in this life")
 		return
 	}
+	if o.aside {
+		b.log.Error("keep", "dir", dir, "why", "starts died over it", "so", "its records are put aside; what ran is not known until the horizon has passed")
+		o.store.Older(k.now())
+	}
 	for _, what := range o.found.Damage {
 		b.log.Error("keep", "dir", dir, "damage", what)
 	}
--- a/backend/return.go
+++ b/backend/return.go
@@ -8,17 +8,19 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
-	"github.com/google/renameio/v2"
-
 	"frosthub/internal/boxwire"
+	"frosthub/internal/keeplog"
 	"frosthub/keep"
 	"frosthub/recovery"
+	"frosthub/takeover"
 )
 
 const (
 	memoryName  = "remembered.json"      // in the folder of the store: what this box remembers of the others
+	witnessMost = 4                      // boxes of a list that remember of one: two majorities of them share one
 	memoryEvery = 250 * time.Millisecond // between its writes, and between words of this box on how far its disk is: of twice that a loss is not found
 )
 
@@ -52,17 +54,27 @@
 	c.store, c.lists, c.known = store, o.lists, o.known
 	c.life, c.goes, c.mark = store.Stats().Life, c.lists.roster().Digests(), rand.Uint64()
 	c.connect()
-	c.way = recovery.New(recovery.Config{Mark: c.mark, Others: c.others(), Horizon: c.wait()}, c.mark)
+	c.way = recovery.New(recovery.Config{Mark: c.mark, Others: c.witnesses(), Horizon: c.wait(),
+		Patient: b.cfg.Cluster.Wait, Alone: b.cfg.Cluster.Alone}, c.mark)
 	c.way.Starts()
-	c.way.Read(b.now, recovery.Disk{Life: c.life, Seq: store.Last(), Fresh: c.life == 1})
+	c.way.Read(b.now, recovery.Disk{Life: c.life, Seq: store.Last(), Fresh: c.life == 1 && !o.aside})
 	c.follow()
 }
 
-// others are the boxes of the lists without this one.
-func (c *cluster) others() (names []string) {
-	for _, m := range c.lists.all() {
-		if m.Name != c.b.cfg.Name {
-			names = append(names, m.Name)
+// witnesses are the boxes that remember how far this one's disk is: some of each list, the same whoever asks, so that what is told and asked
+// does not grow with the fleet.
+func (c *cluster) witnesses() (names []string) {
+	var key keep.Key
+	copy(key[:], c.b.cfg.Name)
+	for _, list := range [][]ClusterMember{c.lists.Members, c.lists.Before} {
+		n := 0
+		for _, name := range takeover.Group(plain(list), key, witnessMost+1) {
+			if name == c.b.cfg.Name || n == witnessMost {
+				continue
+			}
+			if n++; !slices.Contains(names, name) {
+				names = append(names, name)
+			}
 		}
 	}
 	return names
@@ -132,8 +144,8 @@
 	b.at(c.known.nextAt)
 	if last := c.store.Last(); last != c.known.said {
 		c.known.said = last
-		for _, l := range c.links {
-			if l.c != nil {
+		for _, name := range c.witnesses() {
+			if l := c.links[name]; l != nil && l.c != nil {
 				l.c.Write(c.hello(false))
 			}
 		}
@@ -143,10 +155,10 @@
 	}
 	c.known.writing = true
 	text, err := json.Marshal(c.known.Memories)
-	path := filepath.Join(b.cfg.Keep.Dir, memoryName)
+	dir := b.cfg.Keep.Dir
 	go func() { // the disk may be slow
 		if err == nil {
-			err = renameio.WriteFile(path, text, 0o600)
+			err = keeplog.Put(keeplog.Folder(dir), memoryName, text)
 		}
 		b.box.Post(func() {
 			if c.known.writing = false; err != nil {
--- a/backend/roster.go
+++ b/backend/roster.go
@@ -12,10 +12,9 @@
 	"strings"
 	"time"
 
-	"github.com/google/renameio/v2"
-
 	"frosthub/internal/boxwire"
 	"frosthub/internal/conn"
+	"frosthub/internal/keeplog"
 	"frosthub/members"
 	"frosthub/takeover"
 )
@@ -85,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	return renameio.WriteFile(filepath.Join(dir, rosterName), append(text, '\n'), 0o600)
+	return keeplog.Put(keeplog.Folder(dir), rosterName, append(text, '\n'))
 }
 
 // change has the box go by the lists of another configuration as soon as it may.
@@ -183,7 +182,7 @@
 	c.goes = r.Digests()
 	c.box.Move(b.keeper.now(), r.Members, r.Before)
 	c.connect()
-	c.way.Members(c.others())
+	c.way.Members(c.witnesses())
 	for _, link := range c.links {
 		if link.c != nil {
 			link.c.Write(c.hello(false))
--- a/internal/cli/cluster.go
+++ b/internal/cli/cluster.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"frosthub/backend"
+	"frosthub/recovery"
 )
 
 const (
@@ -30,6 +32,18 @@
 			return nil
 		}),
 		boxCommand("members", "Show which boxes a running box takes for alive, and by which lists they go", printMembers),
+		boxCommand("recovery", "Show how far a running box's way back is, and what it trusts from before", func(out io.Writer, s *backend.ClusterStats) error {
+			fmt.Fprintf(out, "%s: %s\n", s.Phase, s.PhaseWhy)
+			if len(s.Missing) > 0 {
+				fmt.Fprintf(out, "not answered yet: %s\n", strings.Join(s.Missing, ", "))
+			}
+			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+			fmt.Fprintln(w, "from before\tit is\tbecause\tat risk")
+			for _, p := range recovery.Pieces {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", p.Name, p.Trust, p.Why, p.Risk)
+			}
+			return w.Flush()
+		}),
 		boxCommand("takeover", "Show the reqs that a running box holds, waits for, or has noted for others", func(out io.Writer, s *backend.ClusterStats) error {
 			printWork(out, s)
 			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/internal/keeplog/disk.go
+++ b/internal/keeplog/disk.go
@@ -29,9 +29,6 @@
 // folder is a Disk of the system's.
 type folder string
 
-// Folder is the system's file system in that folder.
-func Folder(path string) Disk { return folder(path) }
-
 func (f folder) path(name string) string { return filepath.Join(string(f), name) }
 
 func (f folder) Names() ([]string, error) {
@@ -78,8 +75,8 @@
 	return dir.Sync()
 }
 
-// put writes a whole file under a name, which is there whole or not at all.
-func put(d Disk, name string, data []byte) error {
+// Put writes a whole file under a name, which is there whole or not at all, and is confirmed.
+func Put(d Disk, name string, data []byte) error {
 	f, err := d.Append(name+newMark, 0)
 	if err != nil {
 		return err
--- a/internal/keeplog/read.go
+++ b/internal/keeplog/read.go
@@ -43,7 +43,7 @@
 			return fmt.Errorf("the folder is not empty: it has %s", n)
 		}
 	}
-	return put(d, idName, ID{Box: box, Made: made, Mark: mark}.append(nil))
+	return Put(d, idName, ID{Box: box, Made: made, Mark: mark}.append(nil))
 }
 
 // Identify reads whose store it is.
--- a/internal/keeplog/write.go
+++ b/internal/keeplog/write.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	if err := put(w.d, printsName(p.Number), data); err != nil {
+	if err := Put(w.d, printsName(p.Number), data); err != nil {
 		return err
 	}
 	return w.remove(logName(p.Number))
--- a/internal/operator/schema.go
+++ b/internal/operator/schema.go
@@ -244,6 +244,17 @@
 			c.Cluster.Promise = v == "yes"
 			return nil
 		}}}},
+	{Name: "cluster wait", Needs: "cluster name", Help: "after a start, for all that may know more than its disk, then for most of them",
+		Args: []Arg{
+			{Name: "span", Kind: "a span from 1ms to 1h", Set: func(c *Config, v string) (err error) {
+				c.Cluster.Wait, err = span(v, time.Millisecond, time.Hour)
+				return err
+			}},
+			{Name: "word", Word: "alone"},
+			{Name: "span", Kind: "a span, not under the first", Set: func(c *Config, v string) (err error) {
+				c.Cluster.Alone, err = span(v, c.Cluster.Wait, time.Hour)
+				return err
+			}}}},
 	{Name: "cluster replay", Many: true, Needs: "cluster name", Help: "this handler's reqs may run again, and are taken over too; what tells them apart",
 		Check: func(c *Config) (string, string) {
 			for name, parts := range c.Cluster.Replays {
--- a/internal/stand/box.go
+++ b/internal/stand/box.go
@@ -104,6 +104,23 @@
 
 // Start starts the process, and returns once it accepts connections.
 func (b *Box) Start() error {
+	if err := b.Launch(); err != nil {
+		return err
+	}
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		c, err := net.Dial("tcp", b.Listen)
+		if err == nil {
+			return c.Close()
+		}
+		if b.cmd.Process.Signal(syscall.Signal(0)) != nil {
+			break
+		}
+	}
+	return fmt.Errorf("it does not listen: %s", b.Log())
+}
+
+// Launch starts the process, and does not wait for it.
+func (b *Box) Launch() error {
 	text, err := b.Config()
 	if err != nil {
 		return err
@@ -126,19 +143,7 @@
 	b.cmd = exec.Command(b.Binary, args...)
 	b.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+config)
 	b.cmd.Stderr = &b.log
-	if err := b.cmd.Start(); err != nil {
-		return err
-	}
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		c, err := net.Dial("tcp", b.Listen)
-		if err == nil {
-			return c.Close()
-		}
-		if b.cmd.Process.Signal(syscall.Signal(0)) != nil {
-			break
-		}
-	}
-	return fmt.Errorf("it does not listen: %s", b.Log())
+	return b.cmd.Start()
 }
 
 // Reload has it read its operator's file anew, as it is now.
@@ -194,6 +199,16 @@
 	return sum, nil
 }
 
+// Resident is the memory that the process holds now, in kilobytes.
+func (b *Box) Resident() (kb int, err error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", b.cmd.Process.Pid))
+	if err == nil {
+		_, rest, _ := strings.Cut(string(text), "VmRSS:")
+		_, err = fmt.Sscan(rest, &kb)
+	}
+	return kb, err
+}
+
 // Memory is the most memory that the ended process held, in kilobytes.
 func (b *Box) Memory() int64 {
 	if u, ok := b.cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -107,8 +107,13 @@
 	aloneUsual   = 60 * time.Second
 	askFirst     = 50 * time.Millisecond // between questions to who has not answered, doubled each time
 	askMost      = time.Second
+	triesMost    = 3 // starts in a row that died over the reading of the store
 )
 
+// Careful tells whether a box that died so often in a row over its store takes it for lost, rather than die once more. It harms where the
+// deaths had another cause that strikes within the reading: what ran is in doubt for a horizon then.
+func Careful(tries int) bool { return tries >= triesMost }
+
 // Action is what is to be done.
 type Action struct {
 	Ask  []string // what do you remember of me?
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -43,6 +43,7 @@
 	joinShare    = 0.25                   // of its time that a replayable req waits for another's run before it is run anyway
 	rankWait     = 150 * time.Millisecond // that each box of a group gives the one before it
 	doubtAfter   = 30 * time.Second       // past its time a begun one without an end is in doubt for good
+	triesMost    = 8                      // ballots of a claim in a row
 	endFor       = 10 * time.Second       // that an end is repeated for
 	groupsKept   = 4096                   // groups remembered: each takes a hash a member
 
@@ -970,7 +971,12 @@
 // ended follows the word of a majority that the end is noted.
 func (b *Box) ended(c *claim) {
 	delete(b.claims, c.key)
-	if c.kind != keep.Result {
+	switch c.kind { // those that came meanwhile hear too
+	case keep.Never:
+		b.tellAll(c, keep.Fresh, nil)
+		return
+	case keep.Failed:
+		b.tellAll(c, keep.Broken, nil)
 		return
 	}
 	if c.first != 0 && !c.passed {
@@ -1076,8 +1082,10 @@
 	case c.stage == peeking && b.voted(c, None):
 		b.tellAll(c, keep.Fresh, nil)
 	case by != nil && (by.Vote == Running || !b.lost(by.By)) && by.By.Box != b.cfg.Name:
-		b.waitFor(c, by.By)
-	case by != nil && c.stage == opening && c.tries < 8: // its holder is lost, or this box was: ask above it
+		if !b.contests(c, by) {
+			b.waitFor(c, by.By)
+		}
+	case by != nil && c.stage == opening && c.tries < triesMost: // its holder is lost, or this box was: ask above it
 		b.open(c, true)
 	case by != nil && c.stage == peeking:
 		b.waitFor(c, by.By)
@@ -1093,6 +1101,26 @@
 	}
 }
 
+// contests tells whether a claim is not yet given up to another that asks for the same key in the same moment, of which no majority says that it
+// holds it. Where both gave way to each other nobody would run it: who may still get a majority waits for the rest of the group, then the
+// higher ballot asks again and the lower one gives way.
+func (b *Box) contests(c *claim, by *Message) bool {
+	if c.stage != opening || by.Vote == Running || b.most(c.key, func(name string) bool { return c.votes[name].By == by.By }) {
+		return false
+	}
+	waited := b.now - c.since
+	if waited < b.cfg.Again && b.most(c.key, func(name string) bool { m, ok := c.votes[name]; return !ok || m.Vote == Granted }) {
+		return true
+	}
+	if c.ballot.compare(by.By) < 0 || c.tries >= triesMost {
+		return false
+	}
+	if waited >= b.cfg.Again {
+		b.open(c, false)
+	}
+	return true
+}
+
 // lost tells whether a ballot's holder seems to be no more.
 func (b *Box) lost(by Ballot) bool {
 	if by.Box == b.cfg.Name {
@@ -1266,7 +1294,8 @@
 		}
 	case ends:
 		if b.now-c.since > endFor {
-			delete(b.claims, c.key)
+			c.first = 0 // it was answered when its time was over
+			b.tellAll(c, Undecided, nil)
 		} else if again {
 			b.toAll(c, Message{Kind: End, End: c.kind, Result: c.result, Made: c.made})
 		}
