--- a/internal/stand/claims.go
+++ b/internal/stand/claims.go
@@ -21,6 +21,7 @@
 	CostMS   float64
 	Padding  int // bytes of a body beyond its key
 	Customer string
+	TellMade bool                // each try says when its key was first made
 	Took     func(time.Duration) // hears how long each served try took; nil: nobody does
 
 	mu      sync.Mutex
@@ -37,6 +38,7 @@
 	Served  int
 	Errored int // tries answered so before that
 	Refused int
+	Made    int64
 	Cut     int // tries whose connection ended, or that got no answer in time
 }
 
@@ -62,7 +64,7 @@
 // claim sends one until it is served and repeated, or errored for good.
 func (l *Claims) claim(ctx context.Context, r *rand.Rand, key string, ask func(n uint64) Asker) {
 	l.mu.Lock()
-	c := &Claim{}
+	c := &Claim{Made: time.Now().UnixMilli()}
 	l.of[key] = c
 	l.list = append(l.list, key)
 	l.mu.Unlock()
@@ -95,6 +97,9 @@
 	n, began := r.Uint64(), time.Now()
 	req := Req{ID: n | 1, Handler: l.Handler, Caller: r.IntN(4), Start: time.Now().UnixMilli(), CostMS: l.CostMS, Body: key,
 		Customer: l.Customer}
+	if l.TellMade {
+		req.Made = c.Made
+	}
 	got, o := ask(n).Exchange(&req, l.Patient)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/stand/fastcgi.go
+++ b/internal/stand/fastcgi.go
@@ -60,6 +60,7 @@
 	Start    int64 // Unix milliseconds
 	CostMS   float64
 	Customer string
+	Made     int64 // when it was first made, in Unix milliseconds; 0 not told
 	Body     string
 }
 
@@ -74,6 +75,9 @@
 	if r.Customer != "" {
 		put("X-Customer", r.Customer)
 	}
+	if r.Made > 0 {
+		put("X-First-Made", fmt.Sprint(r.Made))
+	}
 }
 
 // FastCGI writes the req.
