Read over: one schedule for two simulations, one way to load a rig in the background

The event queue of the simulation of takeovers stood again in lab/outage, and five tests of boxes had the same lines to run a load and wait for its end. stand.Schedule and fleetRig.asks serve them.

--- a/cmd/frosthub/takeover_test.go
+++ b/cmd/frosthub/takeover_test.go
@@ -129,6 +129,20 @@
 	}
 }
 
+// asks has a load ask all boxes until the function is called that it returns.
+func (f *fleetRig) asks(load *stand.Claims, seed uint64) (stop func()) {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		load.Run(ctx, seed, func(n uint64) stand.Asker { return f.fc[n>>40%uint64(len(f.fc))] })
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // effects sums what all processors began.
 func (f *fleetRig) effects() map[string]int {
 	all := map[string]int{}
@@ -252,12 +266,7 @@
 func (f *fleetRig) suffer(faults int, seed uint64, cluster bool) (stand.ClaimSums, []string, map[string]int) {
 	r := rand.New(rand.NewPCG(seed, 12))
 	load := &stand.Claims{Handler: "file-claim", Callers: 30, Repeats: 2, Late: 0.3, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 6}
-	ctx, stop := context.WithCancel(f.t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		load.Run(ctx, seed, func(n uint64) stand.Asker { return f.fc[n>>40%5] })
-	}()
+	stop := f.asks(load, seed)
 	kinds := map[string]int{}
 	for range faults {
 		time.Sleep(time.Duration(100+r.IntN(250)) * time.Millisecond)
@@ -265,7 +274,6 @@
 	}
 	time.Sleep(2500 * time.Millisecond)
 	stop()
-	<-done
 	sums, wrong := load.Judge(f.effects())
 	return sums, wrong, kinds
 }
@@ -297,12 +305,7 @@
 	f := newFleetRig(t, 3, 25*time.Millisecond, true)
 	defer f.end()
 	load := &stand.Claims{Handler: "file-claim", Callers: 60, Repeats: 1, Pause: 5 * time.Millisecond, Patient: 3 * time.Second, CostMS: 25}
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		load.Run(ctx, 5, func(n uint64) stand.Asker { return f.fc[n>>40%3] })
-	}()
+	stop := f.asks(load, 5)
 	handed := 0
 	for _, b := range f.boxes {
 		time.Sleep(400 * time.Millisecond)
@@ -319,7 +322,6 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	stop()
-	<-done
 	sums, wrong := load.Judge(f.effects())
 	for _, w := range wrong {
 		t.Error(w)
@@ -344,12 +346,7 @@
 	}
 	f.start(before...)
 	load := &stand.Claims{Handler: "file-claim", Callers: 20, Repeats: 3, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 6}
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		load.Run(ctx, 8, func(n uint64) stand.Asker { return f.fc[n>>40%5] })
-	}()
+	stop := f.asks(load, 8)
 	logs := func(text string, boxes ...int) {
 		t.Helper()
 		for _, i := range boxes {
@@ -401,7 +398,6 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	stop()
-	<-done
 	sums, wrong := load.Judge(f.effects())
 	for _, w := range wrong {
 		t.Error(w)
@@ -446,12 +442,7 @@
 	f.start(all...)
 	r := rand.New(rand.NewPCG(4, 4))
 	load := &stand.Claims{Handler: "file-claim", TellMade: true, Callers: 40, Repeats: 2, Late: 0.5, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 6}
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		load.Run(ctx, 6, func(n uint64) stand.Asker { return f.fc[n>>40%boxes] })
-	}()
+	stop := f.asks(load, 6)
 	lose := func() {
 		for _, b := range f.boxes {
 			if err := b.Kill(); err != nil {
@@ -513,7 +504,6 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	stop()
-	<-done
 	sums, wrong := load.Judge(f.effects())
 	for _, w := range wrong {
 		t.Error(w)
@@ -604,12 +594,7 @@
 	f := newFleetRig(t, 6, 6*time.Millisecond, true) // two boxes a zone
 	defer f.end()
 	load := &stand.Claims{Handler: "file-claim", Callers: 30, Repeats: 1, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 6}
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		load.Run(ctx, 11, func(n uint64) stand.Asker { return f.fc[n>>40%6] })
-	}()
+	stop := f.asks(load, 11)
 	time.Sleep(700 * time.Millisecond)
 	for _, i := range []int{0, 3} {
 		if err := f.boxes[i].Kill(); err != nil {
@@ -621,7 +606,6 @@
 	f.start(0, 3)
 	time.Sleep(500 * time.Millisecond)
 	stop()
-	<-done
 	sums, wrong := load.Judge(f.effects())
 	for _, w := range wrong {
 		t.Error(w)
--- a/lab/outage/sim.go
+++ b/lab/outage/sim.go
@@ -3,11 +3,11 @@
 package main
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"frosthub/internal/stand"
 	"frosthub/overload"
 	"frosthub/recovery"
 )
@@ -93,29 +93,11 @@
 	sent    int // messages of its way back
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any     { old := *e; x := old[len(old)-1]; *e = old[:len(old)-1]; return x }
-
 // fleet is a run.
 type fleet struct {
 	config
-	r      *rand.Rand
-	now    time.Duration
-	queue  events
-	seq    int
+	r *rand.Rand
+	stand.Schedule
 	boxes  []*box
 	ids    uint64
 	served [][]float64 // by handler and bucket
@@ -123,11 +105,6 @@
 	tried  int
 }
 
-func (f *fleet) after(d time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.queue, event{f.now + d, f.seq, do})
-}
-
 func (f *fleet) span(most time.Duration) time.Duration {
 	return time.Duration(f.r.Int64N(int64(most) + 1))
 }
@@ -164,22 +141,19 @@
 		f.start(b)
 		b.sure = true
 	}
-	f.after(lossAt, func() {
+	f.After(lossAt, func() {
 		for _, b := range f.boxes {
 			f.lose(b)
 			if b.back > 0 {
-				f.after(b.back-f.now, func() { f.start(b); f.read(b) })
+				f.After(b.back-f.Now, func() { f.start(b); f.read(b) })
 			}
 		}
 	})
 	f.arrive()
 	for at := time.Duration(0); at < end; at += step {
-		for len(f.queue) > 0 && f.queue[0].at <= at {
-			e := heap.Pop(&f.queue).(event)
-			f.now = e.at
-			e.do()
+		for f.Next(at) {
 		}
-		f.now = at
+		f.Now = at
 		for _, b := range f.boxes {
 			if b.up {
 				f.turn(b)
@@ -190,9 +164,9 @@
 }
 
 func (f *fleet) start(b *box) {
-	b.up, b.since, b.reqs, b.running, b.events = true, f.now, map[uint64]*req{}, nil, nil
-	b.ctl, b.wake = overload.New(f.seed+uint64(b.n), settings(), f.now), f.now
-	if f.now == 0 {
+	b.up, b.since, b.reqs, b.running, b.events = true, f.Now, map[uint64]*req{}, nil, nil
+	b.ctl, b.wake = overload.New(f.seed+uint64(b.n), settings(), f.Now), f.Now
+	if f.Now == 0 {
 		b.since = -coldFor
 	}
 }
@@ -218,10 +192,10 @@
 // read begins the way back of a box.
 func (f *fleet) read(b *box) {
 	if f.way == atOnce || f.way == noLimit {
-		f.after(f.span(reading), func() { b.sure = true })
+		f.After(f.span(reading), func() { b.sure = true })
 		return
 	}
-	f.after(f.span(reading), func() {
+	f.After(f.span(reading), func() {
 		c := recovery.Config{Horizon: time.Hour}
 		n := f.witness
 		if f.way == waits {
@@ -233,7 +207,7 @@
 		}
 		b.way = recovery.New(c, uint64(b.n)*77+f.seed)
 		b.way.Starts()
-		b.way.Read(f.now, recovery.Disk{Life: 2, Seq: 100})
+		b.way.Read(f.Now, recovery.Disk{Life: 2, Seq: 100})
 		f.follow(b)
 	})
 }
@@ -254,19 +228,19 @@
 	if way == nil {
 		return
 	}
-	way.Tick(f.now)
+	way.Tick(f.Now)
 	for _, a := range way.Take() {
 		for _, to := range a.Ask {
 			b.sent++
 			other := f.boxes[number(to)]
-			f.after(f.span(2*time.Millisecond), func() {
+			f.After(f.span(2*time.Millisecond), func() {
 				if !other.up || other.way == nil {
 					return
 				}
 				other.sent++
-				f.after(f.span(2*time.Millisecond), func() {
+				f.After(f.span(2*time.Millisecond), func() {
 					if b.way == way {
-						way.Heard(f.now, to, recovery.Answer{Memory: recovery.Memory{Life: 1, Seq: 100}})
+						way.Heard(f.Now, to, recovery.Answer{Memory: recovery.Memory{Life: 1, Seq: 100}})
 						f.follow(b)
 					}
 				})
@@ -275,7 +249,7 @@
 	}
 	b.sure = way.Sure()
 	if !b.sure {
-		f.after(max(step, way.Next()-f.now), func() {
+		f.After(max(step, way.Next()-f.Now), func() {
 			if b.way == way && !b.sure {
 				f.follow(b)
 			}
@@ -286,11 +260,11 @@
 // arrive has callers come by chance.
 func (f *fleet) arrive() {
 	rate := usual * float64(f.config.boxes) * cores / work.Seconds()
-	if f.now >= lossAt+offFor && f.now < lossAt+offFor+f.flood {
+	if f.Now >= lossAt+offFor && f.Now < lossAt+offFor+f.flood {
 		rate *= f.times
 	}
 	f.ask()
-	f.after(time.Duration(f.r.ExpFloat64()/rate*float64(time.Second)), f.arrive)
+	f.After(time.Duration(f.r.ExpFloat64()/rate*float64(time.Second)), f.arrive)
 }
 
 func (f *fleet) ask() {
@@ -300,8 +274,8 @@
 		x -= handlers[h].share
 	}
 	f.ids++
-	r := &req{id: f.ids, h: h, made: f.now, left: work/2 + f.span(work)}
-	f.after(timeout, func() { f.givesUp(r) })
+	r := &req{id: f.ids, h: h, made: f.Now, left: work/2 + f.span(work)}
+	f.After(timeout, func() { f.givesUp(r) })
 	f.try(r)
 }
 
@@ -325,7 +299,7 @@
 	default:
 		r.at = b
 		b.reqs[r.id] = r
-		b.events = append(b.events, overload.Event{Kind: overload.Arrived, ID: r.id, Handler: r.h, Left: timeout - (f.now - r.made),
+		b.events = append(b.events, overload.Event{Kind: overload.Arrived, ID: r.id, Handler: r.h, Left: timeout - (f.Now - r.made),
 			Hint: r.left, Size: 1, Caller: int(r.id % 50)})
 	}
 }
@@ -334,7 +308,7 @@
 func (f *fleet) failed(r *req, after time.Duration) {
 	r.at, r.run = nil, false
 	if !r.over {
-		f.after(after/2+f.span(after), func() { f.try(r) })
+		f.After(after/2+f.span(after), func() { f.try(r) })
 	}
 }
 
@@ -349,14 +323,14 @@
 		}
 	}
 	if f.r.Float64() < persists {
-		f.after(asksAnew/2+f.span(asksAnew), f.ask)
+		f.After(asksAnew/2+f.span(asksAnew), f.ask)
 	}
 }
 
 // turn is a step of a box: its processor works, its module decides.
 func (f *fleet) turn(b *box) {
 	speed := 1.0
-	if f.now-b.since < coldFor {
+	if f.Now-b.since < coldFor {
 		speed = 0.5
 	}
 	if n := float64(len(b.running)); n > 0 {
@@ -368,9 +342,9 @@
 			}
 			if delete(b.reqs, r.id); !r.over {
 				r.over = true
-				f.served[r.h][f.now/bucket]++
+				f.served[r.h][f.Now/bucket]++
 			}
-			b.events = append(b.events, overload.Event{Kind: overload.Ended, ID: r.id, Outcome: overload.OK, Took: f.now - r.made})
+			b.events = append(b.events, overload.Event{Kind: overload.Ended, ID: r.id, Outcome: overload.OK, Took: f.Now - r.made})
 			return true
 		})
 	}
@@ -378,15 +352,15 @@
 		b.events = b.events[:0]
 		return
 	}
-	if f.now >= b.wake {
-		b.wake = f.now + 25*time.Millisecond
+	if f.Now >= b.wake {
+		b.wake = f.Now + 25*time.Millisecond
 		b.events = append(b.events, overload.Event{Kind: overload.Timer, Gauges: []float64{b.busy / 5, float64(len(b.running))}})
 		b.busy = 0
 	}
 	for len(b.events) > 0 {
 		all := b.events
 		b.events = nil
-		for _, a := range b.ctl.Handle(f.now, all) {
+		for _, a := range b.ctl.Handle(f.Now, all) {
 			f.act(b, &a)
 		}
 	}
@@ -395,7 +369,7 @@
 func (f *fleet) act(b *box, a *overload.Action) {
 	r := b.reqs[a.ID]
 	if a.Kind == overload.Wake {
-		b.wake = min(max(a.At, f.now+step), f.now+25*time.Millisecond)
+		b.wake = min(max(a.At, f.Now+step), f.Now+25*time.Millisecond)
 	}
 	if r == nil {
 		return
--- a/takeover/sim_test.go
+++ b/takeover/sim_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -24,12 +24,10 @@
 // world is a cluster in one process: links that delay, cut one way, lose and repeat; boxes that die and come back with what their disk had
 // confirmed, or stand still; and beliefs about who is alive that are wrong at random.
 type world struct {
-	t        testing.TB
-	r        *rand.Rand
-	seed     uint64
-	now      time.Duration
-	queue    events
-	seq      int
+	t    testing.TB
+	r    *rand.Rand
+	seed uint64
+	stand.Schedule
 	boxes    []*box
 	cut      map[[2]int]bool
 	loss     float64
@@ -62,22 +60,6 @@
 	replay  bool
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any     { old := *e; x := old[len(old)-1]; *e = old[:len(old)-1]; return x }
-
 type box struct {
 	w       *world
 	n       int
@@ -107,7 +89,7 @@
 // Alive and Life are what the box believes, right or wrong.
 func (x *box) Alive(name string) bool {
 	n := int(name[0] - 'a')
-	right := x.w.boxes[n].up && x.w.boxes[n].still <= x.w.now && !x.w.cut[[2]int{n, x.n}]
+	right := x.w.boxes[n].up && x.w.boxes[n].still <= x.w.Now && !x.w.cut[[2]int{n, x.n}]
 	if x.w.r.Float64() < x.w.wrong {
 		return !right
 	}
@@ -116,18 +98,13 @@
 func (x *box) Gone(name string) bool   { return !x.Alive(name) }
 func (x *box) Life(name string) uint64 { return x.known[name[0]-'a'] }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now + d, w.seq, do})
-}
-
 func (w *world) span(most time.Duration) time.Duration {
 	return time.Duration(w.r.Int64N(int64(most) + 1))
 }
 
 func (w *world) log(format string, args ...any) {
 	if len(w.trace) < 3000 {
-		w.trace = append(w.trace, fmt.Sprintf("%8s ", w.now-noon)+fmt.Sprintf(format, args...))
+		w.trace = append(w.trace, fmt.Sprintf("%8s ", w.Now-noon)+fmt.Sprintf(format, args...))
 	}
 }
 
@@ -141,11 +118,11 @@
 // on has a box do something later, if it still lives that life; one that stands still does it when it wakes.
 func (x *box) on(d time.Duration, do func()) {
 	life := x.life
-	x.w.after(d, func() {
+	x.w.After(d, func() {
 		switch {
 		case !x.up || x.life != life:
-		case x.still > x.w.now:
-			x.on(x.still-x.w.now, do)
+		case x.still > x.w.Now:
+			x.on(x.still-x.w.Now, do)
 		default:
 			do()
 			x.flush()
@@ -164,20 +141,20 @@
 	for _, r := range x.disk {
 		x.store.Load(r)
 	}
-	x.store.Restarted(x.w.now, false, 0)
+	x.store.Restarted(x.w.Now, false, 0)
 	x.told = map[string][]uint64{}
 	if len(x.roster.Members) == 0 {
 		x.roster.Members = x.w.list(0)
 	}
 	x.goes = x.roster.Digests()
-	x.b = New(Config{Name: x.name, Life: x.life, Members: x.roster.Members, Before: x.roster.Before, Promise: true}, x.store, x, x.w.r.Uint64(), x.w.now)
+	x.b = New(Config{Name: x.name, Life: x.life, Members: x.roster.Members, Before: x.roster.Before, Promise: true}, x.store, x, x.w.r.Uint64(), x.w.Now)
 	x.tick()
 	x.flush()
 }
 
 func (x *box) tick() {
 	x.on(20*time.Millisecond, func() {
-		x.b.Tick(x.w.now)
+		x.b.Tick(x.w.Now)
 		if x.w.moves {
 			x.move()
 		}
@@ -205,23 +182,23 @@
 // move has a box go by other lists as soon as it may.
 func (x *box) move() {
 	w := x.w
-	if w.now < noon+100*time.Millisecond || w.done(x) {
+	if w.Now < noon+100*time.Millisecond || w.done(x) {
 		return
 	}
 	told := func(name string) []uint64 { return x.told[name] }
 	if len(x.roster.Before) > 0 && x.roster.Since == 0 && len(x.roster.Behind(x.name, told)) == 0 {
-		x.roster.Since = w.now
+		x.roster.Since = w.Now
 	}
 	to := Roster{Members: w.list(0)}
-	if w.now > noon+200*time.Millisecond+time.Duration(x.n)*20*time.Millisecond {
+	if w.Now > noon+200*time.Millisecond+time.Duration(x.n)*20*time.Millisecond {
 		to = Roster{Members: w.list(1), Before: w.list(0)}
 	}
 	if x.roster.Since > 0 || off == ruleWait && len(x.roster.Before) > 0 {
 		to.Before = nil
 	}
-	if next, err := x.roster.Next(w.now, moveWait, to); err == nil && !slices.Equal(next.Digests(), x.goes) {
+	if next, err := x.roster.Next(w.Now, moveWait, to); err == nil && !slices.Equal(next.Digests(), x.goes) {
 		x.roster, x.goes = next, next.Digests()
-		x.b.Move(w.now, next.Members, next.Before)
+		x.b.Move(w.Now, next.Members, next.Before)
 		w.log("%s/%d goes by %d and %d", x.name, x.life, len(next.Members), len(next.Before))
 		if len(next.Before) == 0 {
 			w.moved++
@@ -243,13 +220,13 @@
 			seq := x.waiting[n-1].Seq
 			x.disk = append(x.disk, x.waiting[:n]...)
 			x.waiting = x.waiting[n:]
-			x.b.Durable(w.now, seq)
+			x.b.Durable(w.Now, seq)
 		})
 	}
 	for _, p := range x.b.Asks() {
 		x.on(w.span(4*time.Millisecond), func() {
 			for _, e := range w.boxes[p.Of[0]-'a'].ends {
-				x.b.Found(w.now, p.Of, e.run, e.kind, e.result)
+				x.b.Found(w.Now, p.Of, e.run, e.kind, e.result)
 			}
 		})
 	}
@@ -282,7 +259,7 @@
 		if !w.calm && w.r.IntN(200) == 0 {
 			d += 3 * time.Second
 		}
-		w.after(d, func() {
+		w.After(d, func() {
 			y := w.boxes[to]
 			if !y.up {
 				return
@@ -295,7 +272,7 @@
 				if !Meet(goes, y.goes) {
 					return
 				}
-				y.b.Receive(w.now, x.name, life, &m)
+				y.b.Receive(w.Now, x.name, life, &m)
 			})
 		})
 	}
@@ -317,18 +294,18 @@
 		delete(x.ids, o.ID)
 		x.on(w.span(5*time.Millisecond), func() { // the module has it
 			if k.replay {
-				x.b.Runs(w.now, o.Key, o.ID)
+				x.b.Runs(w.Now, o.Key, o.ID)
 				k.effects++
 				result := fmt.Appendf(nil, "run %d of %x", k.effects, o.Key[15])
-				x.on(w.span(20*time.Millisecond), func() { x.b.End(w.now, o.Key, o.ID, keep.Result, result) })
+				x.on(w.span(20*time.Millisecond), func() { x.b.End(w.Now, o.Key, o.ID, keep.Result, result) })
 				w.answered[o.ID] = true
 				return
 			}
 			if w.r.IntN(8) == 0 {
-				x.b.Leave(w.now, o.Key, o.ID)
+				x.b.Leave(w.Now, o.Key, o.ID)
 				w.answered[o.ID] = true
 			} else {
-				x.b.Begin(w.now, o.Key, o.ID, 0)
+				x.b.Begin(w.Now, o.Key, o.ID, 0)
 			}
 		})
 	case keep.Known:
@@ -336,10 +313,10 @@
 			return // it waits
 		}
 		delete(x.ids, o.ID)
-		x.b.Join(w.now, o.Key, o.ID)
+		x.b.Join(w.Now, o.Key, o.ID)
 	case keep.Begin:
 		if w.r.IntN(10) == 0 {
-			x.b.End(w.now, o.Key, o.ID, keep.Never, nil) // nobody waits any more
+			x.b.End(w.Now, o.Key, o.ID, keep.Never, nil) // nobody waits any more
 			w.answered[o.ID] = true
 			return
 		}
@@ -352,14 +329,14 @@
 		if w.r.IntN(12) == 0 {
 			e.kind, e.result = keep.Failed, nil
 		}
-		w.history = append(w.history, stand.Event{Key: string(o.Key[:]), Ran: true, Result: string(e.result), Asked: int64(w.now), Heard: int64(w.now)})
+		w.history = append(w.history, stand.Event{Key: string(o.Key[:]), Ran: true, Result: string(e.result), Asked: int64(w.Now), Heard: int64(w.Now)})
 		life := x.life
-		w.after(w.span(20*time.Millisecond), func() {
+		w.After(w.span(20*time.Millisecond), func() {
 			if w.lives || x.up && x.life == life {
 				x.ends = append(x.ends, e)
 			}
 			if x.up && x.life == life {
-				x.on(w.span(4*time.Millisecond), func() { x.b.End(w.now, o.Key, o.ID, e.kind, e.result) })
+				x.on(w.span(4*time.Millisecond), func() { x.b.End(w.Now, o.Key, o.ID, e.kind, e.result) })
 				w.answered[o.ID] = w.answered[o.ID] || e.kind == keep.Failed
 			}
 		})
@@ -370,7 +347,7 @@
 		}
 		w.heard(o, true)
 		if k.answer == nil {
-			k.answer, k.since = o.Result, w.now
+			k.answer, k.since = o.Result, w.Now
 		}
 		if !bytes.Equal(k.answer, o.Result) {
 			w.broken("key %x: %q, and %q before", o.Key[15], o.Result, k.answer)
@@ -386,16 +363,16 @@
 // heard notes an answer for the history.
 func (w *world) heard(o Outcome, served bool) {
 	if at, ok := w.askedAt[o.ID]; ok && !w.keys[o.Key].replay {
-		w.history = append(w.history, stand.Event{Key: string(o.Key[:]), Served: served, Result: string(o.Result), Asked: int64(at), Heard: int64(w.now)})
+		w.history = append(w.history, stand.Event{Key: string(o.Key[:]), Served: served, Result: string(o.Result), Asked: int64(at), Heard: int64(w.Now)})
 	}
 }
 
 func (w *world) ask() {
 	key := keep.Key{13: 1, 15: byte(w.r.IntN(12))} // none is all zero
-	key[14] = byte(w.seq / 4000)
+	key[14] = byte(w.Count() / 4000)
 	left := time.Second
 	if w.moves { // nobody asks for it again after a while
-		key[14] = byte((w.now - noon) / (200 * time.Millisecond))
+		key[14] = byte((w.Now - noon) / (200 * time.Millisecond))
 		left = 300 * time.Millisecond
 	}
 	if w.keys[key] == nil {
@@ -410,9 +387,9 @@
 			continue
 		}
 		x.on(0, func() {
-			x.ids[id], w.askedAt[id] = key, w.now
+			x.ids[id], w.askedAt[id] = key, w.Now
 			w.log("%s/%d %x %d: asked", x.name, x.life, key[15], id)
-			x.b.Ask(w.now, key, 0, id, Work{Handler: "file-claim", Left: int64(left), Replay: w.keys[key].replay})
+			x.b.Ask(w.Now, key, 0, id, Work{Handler: "file-claim", Left: int64(left), Replay: w.keys[key].replay})
 		})
 	}
 }
@@ -436,7 +413,7 @@
 	if w.r.IntN(4) == 0 {
 		away = time.Second
 	}
-	w.after(w.span(away), x.start)
+	w.After(w.span(away), x.start)
 }
 
 // trouble is one fault.
@@ -454,7 +431,7 @@
 	case 2:
 		d := w.span(1500 * time.Millisecond)
 		w.log("%s/%d stands still for %s", x.name, x.life, d)
-		x.still = max(x.still, w.now+d)
+		x.still = max(x.still, w.Now+d)
 	case 3, 4:
 		y := w.boxes[w.r.IntN(len(w.boxes))]
 		if x == y {
@@ -467,7 +444,7 @@
 		for _, way := range ways {
 			w.log("cut %v", way)
 			w.cut[way] = true
-			w.after(w.span(600*time.Millisecond), func() { delete(w.cut, way) })
+			w.After(w.span(600*time.Millisecond), func() { delete(w.cut, way) })
 		}
 	case 5: // a side of the cluster cannot hear the other
 		side := w.r.Uint64()
@@ -476,7 +453,7 @@
 			for k := range w.boxes {
 				if way := [2]int{i, k}; side>>i&1 != side>>k&1 {
 					w.cut[way] = true
-					w.after(w.span(500*time.Millisecond), func() { delete(w.cut, way) })
+					w.After(w.span(500*time.Millisecond), func() { delete(w.cut, way) })
 				}
 			}
 		}
@@ -486,7 +463,7 @@
 // simulate plays a cluster for some seconds of its own time.
 func simulate(t testing.TB, seed uint64, span time.Duration, moves bool) *world {
 	r := rand.New(rand.NewPCG(seed, 5))
-	w := &world{t: t, r: r, seed: seed, now: noon, cut: map[[2]int]bool{}, keys: map[keep.Key]*truth{}, verdicts: map[keep.Verdict]int{},
+	w := &world{t: t, r: r, seed: seed, Schedule: stand.Schedule{Now: noon}, cut: map[[2]int]bool{}, keys: map[keep.Key]*truth{}, verdicts: map[keep.Verdict]int{},
 		askedAt: map[uint64]time.Duration{}, answered: map[uint64]bool{}}
 	w.loss, w.wrong = []float64{0, 0, 0.02, 0.1}[r.IntN(4)], []float64{0, 0.02, 0.3}[r.IntN(3)]
 	w.disk = []time.Duration{4 * time.Millisecond, 60 * time.Millisecond}[r.IntN(2)]
@@ -507,15 +484,12 @@
 	}
 	every := 10 + r.IntN(60)
 	for at := time.Duration(0); at < span; at += w.span(20 * time.Millisecond) {
-		w.after(at, w.ask)
+		w.After(at, w.ask)
 		if !w.calm && r.IntN(every) == 0 {
-			w.after(at, w.trouble)
+			w.After(at, w.trouble)
 		}
 	}
-	for len(w.queue) > 0 && w.now < noon+span && w.bad == "" {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for w.Now < noon+span && w.bad == "" && w.Next(math.MaxInt64) {
 	}
 	for _, x := range w.boxes {
 		w.found += x.b.Stats().Found
