Figures: the test of a full disk has the disk full before its folder is there

Its log has 'made=anew' after 'no such file': the try in the background came between Mkdir and the full disk, and succeeded; the product did as it should. Ruled out: the fault of the map (its line is the cut file, wanted). The disk is full before the folder is there now, so no try can come between.

--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -330,11 +330,11 @@
 		at += time.Second
 		r.Append(b, at)
 	}
+	full := errors.New("no space left on device")
+	disk(t, func() error { return full }) // before the folder is there: a try in the background may come at any moment
 	if err := os.Mkdir(dir, 0o700); err != nil {
 		t.Fatal(err)
 	}
-	full := errors.New("no space left on device")
-	disk(t, func() error { return full })
 	for end := time.Now().Add(10 * time.Second); !strings.Contains(log.String(), full.Error()); {
 		if time.Now().After(end) {
 			t.Fatal(log)
