A box whose disk has lost something is told it again by the others: decisions, simulated

Words of lives before a fence don't count beside those of who told. Found by the simulation and mended: a note that another told is no grant; an intent without an end on a disk that lacks something is no word on its end; what aged out somewhere did end, though others are in doubt.

--- a/cmd/frosthub/figures_test.go
+++ b/cmd/frosthub/figures_test.go
@@ -309,6 +309,7 @@
 	pairs    = flag.Int("pairs", 0, "measure the cost of the figures in so many pairs of runs")
 	callers  = flag.Int("callers", 20, "edge nodes that ask in it")
 	baseline = flag.String("baseline", "", "a program to measure against, instead of this one without figures")
+	bare     = flag.Bool("bare", false, "and this one without figures too, as the platform starts it")
 )
 
 // TestCost measures the time on cores a req, with all of the figures on and without them, side by side.
@@ -316,15 +317,17 @@
 	if *pairs == 0 {
 		t.Skip("asked for by -pairs")
 	}
-	const with = "figures file FIGURES\nfigures periods 1440 every 1m\nfigures customers 64\n"
-	other := binary
+	with, other := "figures file FIGURES\nfigures periods 1440 every 1m\nfigures customers 64\n", binary
+	if *bare {
+		with = ""
+	}
 	if *baseline != "" {
 		other = *baseline
 	}
 	cost := func(program, conf string) (float64, int64) {
 		x := newRig(t, 8, everyReq(200*time.Microsecond), conf)
 		box := x.box
-		box.Binary, box.Plain = program, program != binary
+		box.Binary, box.Plain = program, program != binary || *bare
 		x.start()
 		before, err := box.CPU() // without what the start takes
 		if err != nil {
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -161,6 +161,10 @@
 	failed   bool
 	pending  []Key // those with a record that is waited for, in its order
 	out      []Write
+	aged     uint64         // keys that stood in order before its first
+	told     []Aged         // prints of other stores, for what this one has lost
+	proves   func(Key) bool // of a key about which something may be lost here: all of it has been told again
+	refilled bool           // so of all keys
 }
 
 // New returns an empty store. Load, Hole and Restarted bring it to what the disk has; then it takes reqs.
@@ -297,7 +301,7 @@
 	switch {
 	case s.printed(key), made > 0 && made < oldest:
 		return TooLate
-	case s.blind > 0 && max(made, oldest) <= s.blind:
+	case s.blind > 0 && max(made, oldest) <= s.blind && (s.proves == nil || !s.proves(key)):
 		return Blind
 	case s.failed:
 		return Unguarded
@@ -375,7 +379,7 @@
 			return true
 		}
 	}
-	return false
+	return slices.ContainsFunc(s.told, func(a Aged) bool { return a.Filter.Test(key[:]) })
 }
 
 // Withdraw says that a req no longer waits: its caller is gone, or was answered otherwise. One that was not yet begun makes
@@ -522,6 +526,7 @@
 func (s *Store) Tidy(now time.Duration) {
 	s.clock(now)
 	s.retire()
+	s.told = slices.DeleteFunc(s.told, func(a Aged) bool { return s.now-a.Till > s.cfg.Horizon })
 	if s.blind > 0 && s.now-s.cfg.Horizon > s.blind {
 		s.blind = 0
 	}
@@ -533,7 +538,7 @@
 		if e := s.entries[s.order[0]]; e != nil && e.hand == nil {
 			return e
 		}
-		s.order = s.order[1:] // it is gone
+		s.drop() // it is gone
 	}
 	return nil
 }
@@ -545,11 +550,16 @@
 		return false
 	}
 	key := s.order[0]
-	s.order = s.order[1:]
+	s.drop()
 	s.age(key, e)
 	return true
 }
 
+func (s *Store) drop() {
+	s.order = s.order[1:]
+	s.aged++
+}
+
 func (s *Store) age(key Key, e *entry) {
 	s.bytes -= len(e.result)
 	if e.state == doubted {
@@ -719,6 +729,7 @@
 func (s *Store) Older(now time.Duration) {
 	s.clock(now)
 	s.Hole(s.now)
+	s.refilled = false
 	s.write(Write{Kind: Gap})
 }
 
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -257,6 +257,13 @@
 	}
 }
 
+// Refilled says that the others have told again all that its disk lacked.
+func (b *Box) Refilled() {
+	if b.phase == Part {
+		b.enter(Serving, "the others have told it all that its disk lacked")
+	}
+}
+
 // Next is when Tick wants to be called; far off where nothing is waited for.
 func (b *Box) Next() time.Duration {
 	switch b.phase {
--- /dev/null
+++ b/recovery/refill.go
@@ -0,0 +1,266 @@
+package recovery
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Refill is how a box that has lost something of its disk is told it again by the others, while it serves. It decides whom to ask for the next
+// page and when, and of which keys all is known again. Places are those that say where to go on; the zero one is the start. Make it with
+// NewRefill.
+type Refill[P comparable] struct {
+	cfg     RefillConfig
+	sources map[string]*source[P]
+	names   []string // in the order in which they are asked
+	chance  uint64
+	done    bool
+}
+
+// RefillConfig says how much is asked at a time.
+type RefillConfig struct {
+	Life   uint64        // of this box: what was meant for an earlier one is not heeded
+	Others []string      // all that share keys with it
+	Every  time.Duration // between pages of one; 0 as usual
+	AtOnce int           // that are asked at a time; 0 as usual
+}
+
+const (
+	pageEvery  = 20 * time.Millisecond  // fifty pages a second and source: some hundred thousand keys
+	pageWait   = 300 * time.Millisecond // for one; doubled each time up to pageMost
+	pageMost   = 4 * time.Second
+	partEvery  = 5 * time.Second // until a source that has lost something itself is asked whether it is whole now
+	atOnceMost = 3               // a source spends a millisecond a page, and this box some writes
+)
+
+// source is one that tells.
+type source[P comparable] struct {
+	life    uint64 // of its process: another one's places mean nothing
+	next    P      // where to go on, as it said
+	askAt   time.Duration
+	wait    time.Duration
+	asked   bool // a page is on its way
+	started bool
+	done    bool
+	part    bool // it has told all, and has lost something itself
+	pages   int
+	keys    int
+}
+
+// NewRefill begins one.
+func NewRefill[P comparable](cfg RefillConfig, seed uint64) *Refill[P] {
+	cfg.Every, cfg.AtOnce = cmp.Or(cfg.Every, pageEvery), cmp.Or(cfg.AtOnce, atOnceMost)
+	r := &Refill[P]{cfg: cfg, chance: seed | 1}
+	r.Members(cfg.Others)
+	return r
+}
+
+// Members says that others are the ones that share keys with this box now: all begins anew, as what was told was told by other lists.
+func (r *Refill[P]) Members(others []string) {
+	r.sources, r.names, r.done = map[string]*source[P]{}, nil, false
+	for _, name := range others {
+		r.names = append(r.names, name)
+		r.sources[name] = &source[P]{wait: pageWait}
+	}
+	for i := len(r.names) - 1; i > 0; i-- { // boxes that come back together ask different ones first
+		k := int(r.draw() % uint64(i+1))
+		r.names[i], r.names[k] = r.names[k], r.names[i]
+	}
+}
+
+func (r *Refill[P]) draw() uint64 {
+	r.chance ^= r.chance << 13
+	r.chance ^= r.chance >> 7
+	r.chance ^= r.chance << 17
+	return r.chance
+}
+
+// Question asks a box for a page.
+type Question[P comparable] struct {
+	To   string
+	From P // as that box said where to go on
+}
+
+// Tick gives the questions that are due. alive tells who seems to be there: others are asked seldom.
+func (r *Refill[P]) Tick(now time.Duration, alive func(string) bool) (out []Question[P]) {
+	busy := 0
+	for _, name := range r.names {
+		if s := r.sources[name]; s.started && !s.done && !s.part && s.wait < pageMost {
+			busy++
+		}
+	}
+	for _, name := range r.names {
+		s := r.sources[name]
+		if s.done || now < s.askAt || !s.started && (busy >= r.cfg.AtOnce || !alive(name)) {
+			continue
+		}
+		if s.asked { // no answer: more seldom, each at moments of its own
+			s.wait = min(2*s.wait, pageMost)
+		}
+		if !s.started {
+			s.started = true
+			busy++
+		}
+		s.asked, s.part = true, false
+		s.askAt = now + s.wait/2 + time.Duration(r.draw()%uint64(s.wait))
+		out = append(out, Question[P]{name, s.next})
+	}
+	return out
+}
+
+// PageInfo is what a page says beside what it tells.
+type PageInfo[P comparable] struct {
+	Life uint64 // of who asked
+	From P      // as it was asked for
+	Next P
+	Keys int
+	Last bool
+	Full bool // who tells has lost nothing itself
+}
+
+// Wants tells whether a page of a box, in that life of its own, is the one that is waited for.
+func (r *Refill[P]) Wants(from string, life uint64, p *PageInfo[P]) bool {
+	s := r.sources[from]
+	if s == nil || s.done || !s.asked || p.Life != r.cfg.Life {
+		return false
+	}
+	var start P
+	if s.next != start && s.life != life { // its places are another process's
+		s.next, s.life, s.asked, s.askAt = start, life, false, 0
+		return false
+	}
+	s.life = life
+	return s.next == p.From
+}
+
+// Took says that such a page was taken, or not all of it: then it is asked for once more, later.
+func (r *Refill[P]) Took(now time.Duration, from string, p *PageInfo[P], all bool) {
+	s := r.sources[from]
+	s.asked = false
+	if !all {
+		s.askAt = now + pageMost
+		return
+	}
+	again := s.next == p.Next && !p.Last // it waits for its own disk
+	s.next, s.wait = p.Next, pageWait
+	s.pages++
+	s.keys += p.Keys
+	switch {
+	case p.Last && p.Full:
+		s.done = true
+	case p.Last:
+		var start P
+		s.part, s.next, s.askAt = true, start, now+partEvery
+	case again:
+		s.askAt = now + pageWait
+	default:
+		s.askAt = now + r.cfg.Every
+	}
+	r.done = !slices.ContainsFunc(r.names, func(name string) bool { return !r.sources[name].done })
+}
+
+// Covers tells whether all of these have told all that they know.
+func (r *Refill[P]) Covers(others []string) bool {
+	return !slices.ContainsFunc(others, func(name string) bool { s := r.sources[name]; return s == nil || !s.done })
+}
+
+// Any tells whether one of these has, which alone says nothing: a test of the rules has it be enough.
+func (r *Refill[P]) Any(others []string) bool {
+	return slices.ContainsFunc(others, func(name string) bool { s := r.sources[name]; return s != nil && s.done })
+}
+
+// Done tells whether all have.
+func (r *Refill[P]) Done() bool { return r.done }
+
+// Progress is how far one of the others has told.
+type Progress struct {
+	Name  string `json:"name"`
+	State string `json:"state"` // not asked, tells, told, not whole, silent
+	Keys  int    `json:"keys"`
+	Pages int    `json:"pages"`
+}
+
+// Progress gives it of each, in the order in which they are asked.
+func (r *Refill[P]) Progress() (out []Progress) {
+	for _, name := range r.names {
+		s := r.sources[name]
+		word := "tells"
+		switch {
+		case s.done:
+			word = "told"
+		case s.part:
+			word = "not whole"
+		case !s.started:
+			word = "not asked"
+		case s.wait > pageWait:
+			word = "silent"
+		}
+		out = append(out, Progress{name, word, s.keys, s.pages})
+	}
+	return out
+}
+
+// Settling is in which order, and how fast, the others are asked how runs ended whose end a box does not know: it paces, and gives up on keys
+// that nobody can tell of, so that they are in doubt for good.
+type Settling struct {
+	tries map[[16]byte]*trying
+	order [][16]byte
+	next  time.Duration
+}
+
+type trying struct {
+	n  int
+	at time.Duration
+}
+
+const (
+	settleEvery = 50 * time.Millisecond
+	settleBatch = 16 // keys that are asked about at a time: some hundred a second, beside the work
+	settleTries = 8  // of one key, ever more seldom: some minutes
+	settleFirst = 2 * time.Second
+	settleMost  = time.Minute
+)
+
+// NewSettling takes the keys in doubt at the start, in the order in which they are asked about.
+func NewSettling(keys [][16]byte) *Settling {
+	s := &Settling{tries: map[[16]byte]*trying{}, order: keys}
+	for _, k := range keys {
+		s.tries[k] = &trying{}
+	}
+	return s
+}
+
+// Left is how many are still asked about.
+func (s *Settling) Left() int { return len(s.tries) }
+
+// Next is when Tick wants to be called; far off where nothing is left.
+func (s *Settling) Next() time.Duration {
+	if len(s.tries) == 0 {
+		return 1<<63 - 1
+	}
+	return s.next
+}
+
+// Tick gives keys to be asked about; doubted tells which are in doubt still.
+func (s *Settling) Tick(now time.Duration, doubted func([16]byte) bool) (ask [][16]byte) {
+	if now < s.next {
+		return nil
+	}
+	s.next = now + settleEvery
+	left := s.order[:0]
+	for _, k := range s.order {
+		t := s.tries[k]
+		if t.n > 0 && !doubted(k) || t.n >= settleTries && now >= t.at {
+			delete(s.tries, k)
+			continue
+		}
+		left = append(left, k)
+		if now >= t.at && len(ask) < settleBatch {
+			t.at = now + min(settleFirst<<t.n, settleMost)
+			t.n++
+			ask = append(ask, k)
+		}
+	}
+	s.order = left
+	return ask
+}
--- a/takeover/sim_test.go
+++ b/takeover/sim_test.go
@@ -12,6 +12,7 @@
 
 	"frosthub/internal/stand"
 	"frosthub/keep"
+	"frosthub/recovery"
 )
 
 var schedules = flag.Int("schedules", 2000, "clusters simulated; each takes some hundred steps")
@@ -46,6 +47,9 @@
 	calm     bool // nothing fails
 	answered map[uint64]bool
 	moves    bool // the members change meanwhile
+	loses    bool // disks lose what they had confirmed, and their boxes are told it again
+	refills  int  // that came to their end
+	lost     int  // disks
 	history  []stand.Event
 	verdicts map[keep.Verdict]int
 	askedAt  map[uint64]time.Duration
@@ -77,6 +81,9 @@
 	goes    []uint64 // its digests
 	told    map[string][]uint64
 	ends    []ended // what its processor knows, in this life and those before if it outlives them
+	lost    bool    // its disk is older than what others know, and does not say so
+	fences  []Fence // on its disk
+	refill  *recovery.Refill[Cursor]
 }
 
 // ended is a run that is over.
@@ -134,7 +141,11 @@
 	x.life++
 	x.up, x.still, x.ids = true, 0, map[uint64]keep.Key{}
 	x.known = make([]uint64, len(x.w.boxes))
-	x.store, x.waiting = keep.New(bounds), nil
+	limits := bounds
+	if x.w.loses && x.w.seed%2 == 0 {
+		limits.Entries = 4 // so that keys age
+	}
+	x.store, x.waiting, x.refill = keep.New(limits), nil, nil
 	if !x.w.lives {
 		x.ends = nil
 	}
@@ -148,13 +159,82 @@
 	}
 	x.goes = x.roster.Digests()
 	x.b = New(Config{Name: x.name, Life: x.life, Members: x.roster.Members, Before: x.roster.Before, Promise: true}, x.store, x, x.w.r.Uint64(), x.w.Now)
+	x.b.Fenced(x.fences)
+	if x.lost {
+		x.store.Older(x.w.Now)
+	}
+	if !x.store.Whole() {
+		x.refills()
+	}
 	x.tick()
 	x.flush()
 }
 
+// refills has the others tell a box what its disk lacks.
+func (x *box) refills() {
+	c := recovery.RefillConfig{Life: x.life}
+	for _, y := range x.w.boxes {
+		if y != x {
+			c.Others = append(c.Others, y.name)
+		}
+	}
+	x.refill = recovery.NewRefill[Cursor](c, x.w.r.Uint64())
+	x.store.Proves(func(key keep.Key) bool {
+		if off == ruleEvery {
+			return x.refill.Any(x.b.Others(key))
+		}
+		return x.refill.Covers(x.b.Others(key))
+	})
+}
+
+// askPages carries questions for pages, and pages, over links that fail like all others.
+func (x *box) askPages() {
+	w := x.w
+	if x.refill == nil || x.refill.Done() {
+		return
+	}
+	for _, q := range x.refill.Tick(w.Now, x.Alive) {
+		x.carry(q.To, func(y *box) {
+			page := y.b.Page(w.Now, x.name, Telling{x.life, q.From})
+			fences := y.b.Fences()
+			y.on(w.span(w.disk), func() {
+				y.fences = fences
+				y.b.Fenced(fences)
+			})
+			life := y.life
+			y.carry(x.name, func(x *box) {
+				info := recovery.PageInfo[Cursor]{Life: page.Life, From: page.From, Next: page.Next, Last: page.Next.Step == StepDone, Full: page.Whole}
+				if x.refill == nil || !x.b.Goes(&page) || !x.refill.Wants(y.name, life, &info) {
+					return
+				}
+				x.refill.Took(w.Now, y.name, &info, x.b.Fill(w.Now, &page))
+				if x.refill.Done() {
+					w.log("%s/%d has been told all again", x.name, x.life)
+					w.refills++
+					x.store.Refilled(w.Now)
+				}
+			})
+		})
+	}
+}
+
+// carry has something reach another box as messages do.
+func (x *box) carry(to string, do func(y *box)) {
+	w, y := x.w, x.w.boxes[to[0]-'a']
+	if w.cut[[2]int{x.n, y.n}] || w.r.Float64() < w.loss {
+		return
+	}
+	w.After(w.span(2*time.Millisecond), func() {
+		if y.up {
+			y.on(0, func() { do(y) })
+		}
+	})
+}
+
 func (x *box) tick() {
 	x.on(20*time.Millisecond, func() {
 		x.b.Tick(x.w.Now)
+		x.askPages()
 		if x.w.moves {
 			x.move()
 		}
@@ -218,8 +298,7 @@
 				return
 			}
 			seq := x.waiting[n-1].Seq
-			x.disk = append(x.disk, x.waiting[:n]...)
-			x.waiting = x.waiting[n:]
+			x.write(n)
 			x.b.Durable(w.Now, seq)
 		})
 	}
@@ -394,6 +473,50 @@
 	}
 }
 
+// loseDisk has a box come back with an older copy of its disk, or with an empty one.
+func (x *box) loseDisk() {
+	w := x.w
+	n := w.r.IntN(len(x.disk) + 1)
+	if w.r.IntN(2) == 0 {
+		n = max(n, len(x.disk)-12)
+	}
+	w.log("%s/%d: its disk has %d of %d records", x.name, x.life, n, len(x.disk))
+	x.disk, x.lost, x.fences = x.disk[:n], true, nil
+	w.lost++
+}
+
+// star has all boxes hear nobody but one, which dies, loses what it had, and soon comes back: it may have given its word on what no other has
+// heard of.
+func (w *world) star(x *box) {
+	w.log("star around %s", x.name)
+	for i := range w.boxes {
+		for k := range w.boxes {
+			if way := [2]int{i, k}; i != x.n && k != x.n && i != k {
+				w.cut[way] = true
+				w.After(500*time.Millisecond+w.span(100*time.Millisecond), func() { delete(w.cut, way) })
+			}
+		}
+	}
+	w.After(w.span(40*time.Millisecond), func() {
+		if !x.up {
+			return
+		}
+		w.log("%s/%d dies", x.name, x.life)
+		x.up = false
+		x.loseDisk()
+		w.After(w.span(10*time.Millisecond), x.start)
+	})
+}
+
+// write has the first of what waits be on the disk.
+func (x *box) write(n int) {
+	for _, r := range x.waiting[:n] {
+		x.lost = x.lost && r.Kind != keep.Gap
+	}
+	x.disk = append(x.disk, x.waiting[:n]...)
+	x.waiting = x.waiting[n:]
+}
+
 // die has a box come back with what was confirmed, and perhaps some more.
 func (x *box) die() {
 	w := x.w
@@ -408,7 +531,10 @@
 	if len(x.waiting) > 0 && w.r.IntN(2) == 0 {
 		n = w.r.IntN(len(x.waiting) + 1)
 	}
-	x.disk = append(x.disk, x.waiting[:n]...)
+	x.write(n)
+	if w.loses && w.r.IntN(3) == 0 {
+		x.loseDisk()
+	}
 	away := 300 * time.Millisecond
 	if w.r.IntN(4) == 0 {
 		away = time.Second
@@ -419,6 +545,10 @@
 // trouble is one fault.
 func (w *world) trouble() {
 	x := w.boxes[w.r.IntN(len(w.boxes))]
+	if w.loses && w.r.IntN(3) == 0 {
+		w.star(x)
+		return
+	}
 	switch w.r.IntN(7) {
 	case 0, 1:
 		x.die()
@@ -460,14 +590,24 @@
 	}
 }
 
+// kind is what happens in a simulation beside the usual faults.
+type kind uint8
+
+const (
+	usual  kind = iota
+	moving      // the members change
+	losing      // disks lose what they had confirmed
+)
+
 // simulate plays a cluster for some seconds of its own time.
-func simulate(t testing.TB, seed uint64, span time.Duration, moves bool) *world {
+func simulate(t testing.TB, seed uint64, span time.Duration, kind kind) *world {
+	moves := kind == moving
 	r := rand.New(rand.NewPCG(seed, 5))
 	w := &world{t: t, r: r, seed: seed, Schedule: stand.Schedule{Now: noon}, cut: map[[2]int]bool{}, keys: map[keep.Key]*truth{}, verdicts: map[keep.Verdict]int{},
 		askedAt: map[uint64]time.Duration{}, answered: map[uint64]bool{}}
 	w.loss, w.wrong = []float64{0, 0, 0.02, 0.1}[r.IntN(4)], []float64{0, 0.02, 0.3}[r.IntN(3)]
 	w.disk = []time.Duration{4 * time.Millisecond, 60 * time.Millisecond}[r.IntN(2)]
-	w.moves = moves
+	w.moves, w.loses = moves, kind == losing
 	n := 3 + r.IntN(7)
 	if moves {
 		n = 5 + r.IntN(4)
@@ -504,7 +644,7 @@
 func TestClusters(t *testing.T) {
 	verdicts, runs, asked, replayed, found := map[keep.Verdict]int{}, 0, 0, 0, int64(0)
 	for seed := range uint64(*schedules) {
-		w := simulate(t, seed, 1200*time.Millisecond, false)
+		w := simulate(t, seed, 1200*time.Millisecond, usual)
 		if w.bad != "" {
 			for _, line := range w.trace {
 				t.Log(line)
@@ -539,7 +679,7 @@
 func TestCalm(t *testing.T) {
 	for seed := range uint64(*schedules / 10) {
 		const span = 1200 * time.Millisecond
-		w := simulate(t, calm+seed, span, false)
+		w := simulate(t, calm+seed, span, usual)
 		for id, at := range w.askedAt {
 			if at < noon+span-500*time.Millisecond && !w.answered[id] {
 				for _, line := range w.trace {
@@ -555,7 +695,7 @@
 func TestMembersChange(t *testing.T) {
 	moved, runs := 0, 0
 	for seed := range uint64(*schedules / 8) {
-		w := simulate(t, seed, 2*time.Second, true)
+		w := simulate(t, seed, 2*time.Second, moving)
 		if w.bad != "" {
 			for _, line := range w.trace {
 				t.Log(line)
@@ -571,17 +711,47 @@
 	}
 }
 
+// TestDisksLost: boxes whose disks lose what they had confirmed are told it again by the others; under the same faults no key runs twice, and who
+// was answered is answered alike.
+func TestDisksLost(t *testing.T) {
+	lost, refills, runs := 0, 0, 0
+	for seed := range uint64(*schedules / 2) {
+		w := simulate(t, seed, 2*time.Second, losing)
+		if w.bad != "" {
+			for _, line := range w.trace {
+				t.Log(line)
+			}
+			t.Fatalf("seed %d: %s", seed, w.bad)
+		}
+		lost += w.lost
+		refills += w.refills
+		runs += w.runs
+	}
+	t.Logf("%d clusters, %d runs, %d disks lost something, %d boxes were told all again", *schedules/2, runs, lost, refills)
+	if refills < lost/10 {
+		t.Error("hardly any box was told all again")
+	}
+}
+
 // TestRulesAreNeeded: with one of the rules switched off, the schedules of CI find a broken one.
 func TestRulesAreNeeded(t *testing.T) {
 	defer func() { off = 0 }()
 	for _, c := range []struct {
 		off  rule
 		name string
-	}{{ruleMajority, "majority"}, {ruleBallot, "ballot"}, {ruleBegun, "begun"}, {ruleDurable, "durable"}, {ruleBefore, "list before"}, {ruleWait, "wait"}} {
+	}{{ruleMajority, "majority"}, {ruleBallot, "ballot"}, {ruleBegun, "begun"}, {ruleDurable, "durable"}, {ruleBefore, "list before"}, {ruleWait, "wait"},
+		{ruleFence, "fence"}, {ruleWhole, "whole"}, {ruleInHand, "in hand"}, {rulePrints, "prints"}, {ruleEvery, "every"}} {
 		off = c.off
 		found := false
 		for seed := uint64(0); seed < uint64(*schedules) && !found; seed++ {
-			if w := simulate(t, seed, 1200*time.Millisecond, c.off >= ruleBefore); w.bad != "" {
+			what := usual
+			switch {
+			case c.off >= ruleFence:
+				what = losing
+			case c.off >= ruleBefore:
+				what = moving
+			}
+			if w := simulate(t, seed, 1200*time.Millisecond, what); w.bad != "" {
 				found = true
 				t.Logf("%s off: seed %d: %s", c.name, seed, w.bad)
 			}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -99,9 +99,16 @@
 	End    keep.Kind
 	Result []byte
 	Work   *Work
-	Replay bool   // the req may run again: nothing of it is durable, and whoever lost its holder may begin
-	Run    uint64 // Begin: the id under which the holder's processor will know it
-	Notice uint64 // Begin: the last notice that the holder has read of its processor
+	Replay bool    // the req may run again: nothing of it is durable, and whoever lost its holder may begin
+	Run    uint64  // Begin: the id under which the holder's processor will know it
+	Notice uint64  // Begin: the last notice that the holder has read of its processor
+	Fences []Fence // with a vote: of boxes of the group whose words of earlier lives don't count beside it
+}
+
+// word is what a box said in that life.
+type word struct {
+	Message
+	life uint64
 }
 
 // Send is a message on its way.
@@ -150,6 +157,8 @@
 	run     uint64 // at its holder's processor
 	notice  uint64
 	asked   time.Duration // when that processor was last to be asked for its end; 0 never
+	filled  bool          // others told it: this box may have known its end, and lost it; it has granted nothing
+	rest    []Ballot      // filled: others that were noted as about to begin, lower ones
 }
 
 type stage uint8
@@ -177,7 +186,7 @@
 	first   uint64
 	ids     []uint64
 	untold  []uint64 // of ids: those whose Ask has no answer yet
-	votes   map[string]Message
+	votes   map[string]word
 	since   time.Duration // of the stage
 	asked   time.Duration // when the last req came
 	sent    time.Duration
@@ -191,6 +200,7 @@
 	from    time.Duration // since when somebody waits
 	run     uint64        // see Message
 	notice  uint64
+	settles bool // nobody waits for it
 }
 
 // Box is one box's part. Make it with New.
@@ -217,6 +227,7 @@
 	replays int     // notes of replayable reqs
 	bytes   int     // and of their results
 	asks    []Processor
+	fences  map[string]fence
 }
 
 // run is one at a box's processor.
@@ -291,7 +302,7 @@
 	cfg.Size, cfg.Patient, cfg.Again = cmp.Or(cfg.Size, sizeUsual), cmp.Or(cfg.Patient, patientUsual), cmp.Or(cfg.Again, againUsual)
 	cfg.Notes, cfg.InHand, cfg.Bytes = cmp.Or(cfg.Notes, notesUsual), cmp.Or(cfg.InHand, inHandUsual), cmp.Or(cfg.Bytes, bytesUsual)
 	return &Box{cfg: cfg, store: store, peers: peers, now: now, notes: map[keep.Key]*note{}, byNote: map[uint64]keep.Key{}, byRun: map[run]*note{},
-		claims: map[keep.Key]*claim{}, groups: map[keep.Key][][]string{}, chance: seed | 1}
+		claims: map[keep.Key]*claim{}, groups: map[keep.Key][][]string{}, fences: map[string]fence{}, chance: seed | 1}
 }
 
 // Take hands over what is to be sent, and what becomes of reqs, since the last call.
@@ -379,6 +390,10 @@
 
 // send gives a message to a box; to this one at once.
 func (b *Box) send(to string, m Message) {
+	switch m.Kind {
+	case Opened, Begun, Ended, Seen, Took:
+		m.Fences = b.fencesOf(m.Key)
+	}
 	if to == b.cfg.Name {
 		b.receive(to, b.cfg.Life, &m)
 		return
@@ -422,7 +437,7 @@
 }
 
 func (b *Box) enter(c *claim, s stage) {
-	c.stage, c.since, c.votes = s, b.now, map[string]Message{}
+	c.stage, c.since, c.votes = s, b.now, map[string]word{}
 }
 
 // Ask takes a req that was read here. The outcome is Fresh (it may go to the module), Known (it may join), or what it meets.
@@ -729,7 +744,7 @@
 			b.takeOver(m.Key, n)
 		}
 	case Opened, Begun, Ended, Seen, NotHeld, Took:
-		b.answered(from, m)
+		b.answered(from, life, m)
 	}
 }
 
@@ -746,7 +761,10 @@
 			n.waiting[from] = true
 		}
 		v := Held
-		if n.begun {
+		switch {
+		case n.filled && !b.store.Tells(m.Key):
+			return Message{Vote: Silent}
+		case n.begun:
 			v = Running
 		}
 		return Message{Vote: v, By: n.ballot}
@@ -763,6 +781,9 @@
 	case keep.Broken:
 		return Message{Vote: Over, End: keep.Failed}
 	case keep.InDoubt:
+		if !b.store.Tells(m.Key) { // how it ended may be what this disk lacks
+			return Message{Vote: Silent}
+		}
 		return Message{Vote: Doubted}
 	case keep.TooLate:
 		return Message{Vote: Gone}
@@ -781,7 +802,7 @@
 		n.ballot = m.Ballot
 		v = Message{Vote: Granted}
 	case v.Vote == Held && (m.Force || n.ballot.Box == from) && m.Ballot.compare(n.ballot) > 0,
-		v.Vote == Running && n.ballot.Box == from && n.ballot.Life == m.Ballot.Life && m.Ballot.compare(n.ballot) > 0:
+		v.Vote == Running && !n.filled && n.ballot.Box == from && n.ballot.Life == m.Ballot.Life && m.Ballot.compare(n.ballot) > 0:
 		if v.Vote == Running { // who was about to begin has not, and gives that ballot up
 			b.stored(b.store.Ended(b.now, m.Key, keep.Never, nil))
 			b.forget(m.Key, n)
@@ -825,6 +846,8 @@
 		answer(Lost, Ballot{})
 	case n.ballot != m.Ballot && off != ruleBallot:
 		answer(Lost, n.ballot)
+	case n.filled: // what others had noted is no word of this box
+		answer(Lost, n.ballot)
 	case n.begun && n.durable:
 		answer(Granted, Ballot{})
 	case n.begun: // it is being written
@@ -855,6 +878,11 @@
 	ruleDurable                  // note it durably before saying so
 	ruleBefore                   // while the members change, ask the group of the list before as well
 	ruleWait                     // end a change only when all went by both lists for as long as anything is asked for again
+	ruleFence                    // words of a box's lives before it was told anew don't count beside those of who told it
+	ruleWhole                    // who has lost something itself tells nobody all
+	ruleInHand                   // what may be running is told as well
+	rulePrints                   // and what has aged
+	ruleEvery                    // all others of a key's group must have told
 )
 
 var off rule
@@ -872,7 +900,13 @@
 		return
 	}
 	if m.End == keep.Never {
-		if n != nil && n.ballot == m.Ballot {
+		switch {
+		case n == nil:
+		case n.ballot == m.Ballot && len(n.rest) > 0:
+			n.ballot, n.rest = n.rest[0], n.rest[1:]
+		case n.ballot != m.Ballot:
+			n.rest = slices.DeleteFunc(n.rest, func(o Ballot) bool { return o == m.Ballot })
+		default:
 			if n.begun {
 				b.stored(b.store.Ended(b.now, m.Key, keep.Never, nil))
 			}
@@ -899,6 +933,7 @@
 	if !n.begun || n.id == 0 {
 		b.ids++
 		n.id = b.ids
+		b.store.Resume(m.Key, n.id)
 	}
 	if !n.begun {
 		if o := b.store.Arrive(b.now, m.Made, m.Key, n.id); o.Verdict != keep.Wait {
@@ -920,7 +955,7 @@
 }
 
 // answered follows the answer of a box of the group.
-func (b *Box) answered(from string, m *Message) {
+func (b *Box) answered(from string, life uint64, m *Message) {
 	c := b.claims[m.Key]
 	if c == nil {
 		return
@@ -936,10 +971,10 @@
 		}
 	case m.Ballot != c.ballot:
 	case m.Kind == Opened && c.stage == opening:
-		c.votes[from] = *m
+		c.count(from, life, m)
 		b.decide(c)
 	case m.Kind == Begun && c.stage == begins:
-		c.votes[from] = *m
+		c.count(from, life, m)
 		lost := false
 		possible := b.most(c.key, func(name string) bool {
 			m, ok := c.votes[name]
@@ -958,12 +993,12 @@
 			b.refuse(c, keep.Unguarded)
 		}
 	case m.Kind == Ended && c.stage == ends:
-		c.votes[from] = *m
+		c.count(from, life, m)
 		if b.voted(c, Granted) {
 			b.ended(c)
 		}
 	case m.Kind == Seen && c.stage == peeking:
-		c.votes[from] = *m
+		c.count(from, life, m)
 		b.decide(c)
 	}
 }
@@ -1037,15 +1072,15 @@
 		switch m.Vote {
 		case Over:
 			if over == nil || m.End == keep.Result {
-				over = &m
+				over = &m.Message
 			}
 		case Running:
 			if by == nil || by.Vote != Running || m.By.compare(by.By) > 0 {
-				by = &m
+				by = &m.Message
 			}
 		case Held, Lost:
 			if by == nil || by.Vote != Running && m.By.compare(by.By) > 0 {
-				by = &m
+				by = &m.Message
 			}
 		case Doubted:
 			doubted = true
@@ -1058,8 +1093,9 @@
 		}
 	}
 	all := len(c.votes) == len(b.all(c.key))
-	every := all || b.most(c.key, func(name string) bool { m, ok := c.votes[name]; return ok && m.Vote != Silent }) // who can't tell counts for none
-	if every && b.now-c.since < b.cfg.Patient/4 {                                                                   // some may still say more
+	told := b.most(c.key, func(name string) bool { m, ok := c.votes[name]; return ok && m.Vote != Silent }) // who can't tell counts for none
+	every := all || told
+	if every && b.now-c.since < b.cfg.Patient/4 { // some may still say more
 		every = all || !doubted && !gone && (by == nil || by.Vote != Running)
 	}
 	switch {
@@ -1069,16 +1105,20 @@
 	case c.stage == opening && b.voted(c, Granted): // whatever else is noted was noted by less than a majority, and can't be any more
 		b.granted(c)
 	case !every:
+	case gone: // it did end, though some never heard of that
+		b.dropGrants(c)
+		b.tellAll(c, keep.TooLate, nil)
 	case by != nil && by.Vote == Running && b.lost(by.By), doubted && (by == nil || by.Vote != Running):
 		b.dropGrants(c)
 		if c.asked >= c.since { // who came since may have a right to better
 			b.look(c)
 			return
 		}
-		b.tellAll(c, keep.InDoubt, nil)
-	case gone:
-		b.dropGrants(c)
-		b.tellAll(c, keep.TooLate, nil)
+		v := keep.InDoubt
+		if !told { // most of the group's disks have lost something: its end may have been there
+			v = keep.Blind
+		}
+		b.tellAll(c, v, nil)
 	case c.stage == peeking && b.voted(c, None):
 		b.tellAll(c, keep.Fresh, nil)
 	case by != nil && (by.Vote == Running || !b.lost(by.By)) && by.By.Box != b.cfg.Name:
@@ -1178,7 +1218,7 @@
 		b.tell(c, c.first, keep.Known, nil)
 	}
 	c.rebegin, c.told = false, true
-	c.votes["holder"] = Message{By: by}
+	c.votes["holder"] = word{Message: Message{By: by}}
 	b.tellKnown(c)
 	if c.first == 0 && len(c.ids) == 0 {
 		delete(b.claims, c.key)
@@ -1300,6 +1340,10 @@
 			b.toAll(c, Message{Kind: End, End: c.kind, Result: c.result, Made: c.made})
 		}
 	case waits:
+		if c.settles && c.first == 0 && len(c.ids) == 0 {
+			delete(b.claims, c.key)
+			return
+		}
 		if b.enough(c) {
 			return
 		}
@@ -1307,6 +1351,10 @@
 			b.look(c)
 		}
 	case peeking:
+		if c.settles && b.now > c.due && c.first == 0 && len(c.ids) == 0 {
+			delete(b.claims, c.key)
+			return
+		}
 		if b.enough(c) {
 			return
 		}
