Boxes tell each other again what a lost disk had, page by page; ends in doubt are asked for

Telling and Page go between boxes (boxwire, with fences on votes); fences stand in remembered.json before a last page leaves; frosthub recovery shows how far each of the others has told. A box that comes back asks its groups how runs ended whose end it lacks (Settle, paced by recovery.Settling). A box whose disk has an end on the way says so, and nobody takes the run for in doubt meanwhile.

--- a/backend/cluster.go
+++ b/backend/cluster.go
@@ -53,18 +53,19 @@
 
 // cluster is the core's side of members and takeover: it carries their messages, and does what they say.
 type cluster struct {
-	b     *Backend
-	list  *members.List
-	box   *takeover.Box // nil until the store is read
-	links map[string]*boxLink
-	life  uint64
-	next  time.Duration
-	store *keep.Store
-	way   *recovery.Box // back after a loss; nil until the store is read
-	mark  uint64        // of this process
-	known memory
-	parts [][]Part            // by handler: replayable ones that are taken over
-	asked map[string]*session // processors of lost boxes that are being asked
+	b      *Backend
+	list   *members.List
+	box    *takeover.Box // nil until the store is read
+	links  map[string]*boxLink
+	life   uint64
+	next   time.Duration
+	store  *keep.Store
+	way    *recovery.Box // back after a loss; nil until the store is read
+	mark   uint64        // of this process
+	known  memory
+	refill refilling
+	parts  [][]Part            // by handler: replayable ones that are taken over
+	asked  map[string]*session // processors of lost boxes that are being asked
 
 	lists     lists               // that this box goes by
 	goes      []uint64            // their digests
@@ -127,6 +128,8 @@
 	c.box = takeover.New(takeover.Config{Name: b.cfg.Name, Life: c.life, Members: r.Members, Before: r.Before, Promise: b.cfg.Cluster.Promise,
 		Bytes: int(min(b.share(noteShare), noteShare*memoryNone))}, c.store, c, b.cfg.Seed^1,
 		b.keeper.now())
+	c.box.Fenced(fences(c.known.Fences))
+	c.lacks()
 	b.log.Info("cluster", "name", b.cfg.Cluster.Name, "life", c.life, "members", len(r.Members), "before", len(r.Before))
 }
 
@@ -162,6 +165,12 @@
 		case c.links[from] == nil:
 			return fmt.Errorf("%w: %s", errStranger, from)
 		}
+		if batch.Telling != nil {
+			c.tells(from, life, batch.Telling)
+		}
+		if batch.Page != nil {
+			c.toldAgain(from, life, batch.Page)
+		}
 		if len(batch.Members) == 0 {
 			c.list.Heard(b.now, from, life)
 		}
@@ -205,6 +214,7 @@
 	if b.now >= c.next {
 		c.next = b.now + boxTick
 		c.box.Tick(b.keeper.now())
+		c.refillTick()
 	}
 	b.at(c.next)
 	c.tryChange()
@@ -297,7 +307,7 @@
 
 // flush writes a turn's batch to a box. What can't be sent is asked for again.
 func (c *cluster) flush(l *boxLink) {
-	if len(l.batch.Members)+len(l.batch.Claims) == 0 && l.batch.Known == nil && !l.ask {
+	if !l.wants() {
 		return
 	}
 	b := c.b
@@ -384,18 +394,20 @@
 
 // ClusterStats tell how a box sees its cluster, and what it has to do with the others.
 type ClusterStats struct {
-	Name     string         `json:"name"`
-	Life     uint64         `json:"life"`
-	Former   int            `json:"former"` // boxes of the list before, while the members change; 0 they don't
-	Since    string         `json:"since"`  // that all are known to go by both
-	Why      string         `json:"why"`    // it does not go by the lists of its file
-	Phase    string         `json:"phase"`  // of its way back
-	PhaseWhy string         `json:"phase_why"`
-	Missing  []string       `json:"missing"` // while it asks: who has not answered
-	Unwell   int            `json:"unwell"`  // how slow this box takes itself to be, 0 to 8
-	Members  []MemberStats  `json:"members"`
-	Work     takeover.Stats `json:"work"`
-	Reqs     []takeover.Req `json:"reqs"` // some of those that are held, waited for or noted
+	Name     string              `json:"name"`
+	Life     uint64              `json:"life"`
+	Former   int                 `json:"former"` // boxes of the list before, while the members change; 0 they don't
+	Since    string              `json:"since"`  // that all are known to go by both
+	Why      string              `json:"why"`    // it does not go by the lists of its file
+	Phase    string              `json:"phase"`  // of its way back
+	PhaseWhy string              `json:"phase_why"`
+	Missing  []string            `json:"missing"` // while it asks: who has not answered
+	Told     []recovery.Progress `json:"told"`    // where its disk lacked something: how far each of the others has told it again
+	Doubts   int                 `json:"doubts"`  // keys whose end the others are asked about
+	Unwell   int                 `json:"unwell"`  // how slow this box takes itself to be, 0 to 8
+	Members  []MemberStats       `json:"members"`
+	Work     takeover.Stats      `json:"work"`
+	Reqs     []takeover.Req      `json:"reqs"` // some of those that are held, waited for or noted
 }
 
 // MemberStats are what is believed of a box.
@@ -419,6 +431,9 @@
 		if c.box == nil {
 			return
 		}
+		if out.Doubts = c.refill.doubts.Left(); c.refill.from != nil {
+			out.Told = c.refill.from.Progress()
+		}
 		out.Unwell, out.Work, out.Reqs = c.list.Unwell(), c.box.Stats(), c.box.Reqs(reqsMost)
 		for _, m := range c.list.All() {
 			goes := "unknown"
--- /dev/null
+++ b/backend/refill.go
@@ -0,0 +1,105 @@
+package backend
+
+import (
+	"frosthub/keep"
+	"frosthub/recovery"
+	"frosthub/takeover"
+)
+
+const settleKeys = 4096 // in doubt at a start that the others are asked about: as many as are in hand at most
+
+// refilling is the core's side of being told again what this box's disk lacks, and of how runs ended whose end it does not know.
+type refilling struct {
+	from   *recovery.Refill[takeover.Cursor] // nil while nothing is lacking
+	doubts *recovery.Settling
+}
+
+// lacks begins it where the store can't answer for all that it has ever had, and takes up the keys in doubt.
+func (c *cluster) lacks() {
+	c.refill = refilling{doubts: recovery.NewSettling(nil)}
+	var keys [][16]byte
+	for _, key := range c.store.InDoubt(settleKeys) {
+		keys = append(keys, key)
+	}
+	c.refill.doubts = recovery.NewSettling(keys)
+	if c.store.Whole() {
+		return
+	}
+	r := recovery.NewRefill[takeover.Cursor](recovery.RefillConfig{Life: c.life, Others: c.others()}, c.mark)
+	c.refill.from = r
+	c.store.Proves(func(key keep.Key) bool { return r.Covers(c.box.Others(key)) })
+}
+
+// others are all boxes of the lists but this one.
+func (c *cluster) others() (names []string) {
+	for _, m := range c.lists.all() {
+		if m.Name != c.b.cfg.Name {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// refillTick asks for what is due.
+func (c *cluster) refillTick() {
+	b, now := c.b, c.b.keeper.now()
+	var ask []keep.Key
+	for _, k := range c.refill.doubts.Tick(now, func(k [16]byte) bool { return c.store.Meet(now, 0, k).Verdict == keep.InDoubt }) {
+		ask = append(ask, k)
+	}
+	c.box.Settle(now, ask)
+	if r := c.refill.from; r != nil && !r.Done() {
+		for _, q := range r.Tick(b.now, c.Alive) {
+			if l := c.links[q.To]; l != nil {
+				l.batch.Telling = &takeover.Telling{Life: c.life, From: q.From}
+			}
+		}
+	}
+}
+
+// tells answers a box that has lost something.
+func (c *cluster) tells(from string, life uint64, t *takeover.Telling) {
+	if t.Life != life || life < c.Life(from) {
+		return
+	}
+	p := c.box.Page(c.b.keeper.now(), from, *t)
+	c.links[from].batch.Page = &p
+	for _, f := range c.box.Fences() {
+		c.known.Fence(f.Box, f.Life)
+	}
+}
+
+// fences are those on the disk, once what is remembered is.
+func fences(known map[string]uint64) (out []takeover.Fence) {
+	for name, life := range known {
+		out = append(out, takeover.Fence{Box: name, Life: life})
+	}
+	return out
+}
+
+// told takes a page.
+func (c *cluster) toldAgain(from string, life uint64, p *takeover.Page) {
+	b, r := c.b, c.refill.from
+	info := recovery.PageInfo[takeover.Cursor]{Life: p.Life, From: p.From, Next: p.Next, Keys: len(p.Told) + len(p.InHand),
+		Last: p.Next.Step == takeover.StepDone, Full: p.Whole}
+	if r == nil || r.Done() || !c.box.Goes(p) || !r.Wants(from, life, &info) {
+		return
+	}
+	r.Took(b.now, from, &info, c.box.Fill(b.keeper.now(), p))
+	if info.Last {
+		b.log.Info("told again", "by", from, "whole", info.Full)
+	}
+	if !r.Done() {
+		return
+	}
+	kept := c.store.Refilled(b.keeper.now())
+	b.log.Info("told again", "by", "all others", "also_for_later_lives", kept)
+	c.way.Refilled()
+	c.follow()
+}
+
+// wants tells whether a link has something to send.
+func (l *boxLink) wants() bool {
+	x := &l.batch
+	return len(x.Members)+len(x.Claims) > 0 || x.Known != nil || x.Telling != nil || x.Page != nil || l.ask
+}
--- a/backend/return.go
+++ b/backend/return.go
@@ -86,7 +86,7 @@
 		return
 	}
 	b := c.b
-	again := false
+	again, lost := false, false
 	for _, a := range c.way.Take() {
 		for _, name := range a.Ask {
 			if l := c.links[name]; l != nil {
@@ -94,6 +94,7 @@
 			}
 		}
 		if a.Lost {
+			lost = true
 			c.store.Older(b.keeper.now())
 			b.log.Error("store older than known", "life", c.life, "so", "what it does not have is not taken for fresh until the horizon has passed")
 		}
@@ -109,8 +110,11 @@
 			b.log.Info("recovery", "phase", a.Now.String(), "was", a.Was.String(), "why", a.Why)
 		}
 	}
-	if c.way.Sure() && (c.box == nil || again) {
+	switch {
+	case c.way.Sure() && (c.box == nil || again):
 		c.begin()
+	case c.box != nil && lost:
+		c.lacks()
 	}
 }
 
@@ -155,14 +159,18 @@
 	}
 	c.known.writing = true
 	text, err := json.Marshal(c.known.Memories)
-	dir := b.cfg.Keep.Dir
+	dir, noted := b.cfg.Keep.Dir, fences(c.known.Fences)
 	go func() { // the disk may be slow
 		if err == nil {
 			err = keeplog.Put(keeplog.Folder(dir), memoryName, text)
 		}
 		b.box.Post(func() {
-			if c.known.writing = false; err != nil {
+			c.known.writing = false
+			switch {
+			case err != nil:
 				b.note("not remembered", "why", err)
+			case c.box != nil:
+				c.box.Fenced(noted)
 			}
 		})
 	}()
--- a/backend/roster.go
+++ b/backend/roster.go
@@ -183,6 +183,9 @@
 	c.box.Move(b.keeper.now(), r.Members, r.Before)
 	c.connect()
 	c.way.Members(c.witnesses())
+	if r := c.refill.from; r != nil && !r.Done() {
+		r.Members(c.others())
+	}
 	for _, link := range c.links {
 		if link.c != nil {
 			link.c.Write(c.hello(false))
--- a/cmd/frosthub/takeover_test.go
+++ b/cmd/frosthub/takeover_test.go
@@ -939,3 +939,52 @@
 		}
 	}
 }
+
+// TestDiskLost has a box of five come back with an empty disk under load. The others tell it again what it had; once they have, a second one is
+// lost for good, and what only these two and one more had noted is still answered alike: by the one that is left and the one that was told.
+func TestDiskLost(t *testing.T) {
+	f := newFleetRig(t, 5, 5*time.Millisecond, true)
+	defer f.end()
+	before := &stand.Claims{Handler: "file-claim", Callers: 20, Keys: 25, Repeats: 1, Pause: 2 * time.Millisecond, Patient: 2 * time.Second, CostMS: 5}
+	before.Run(t.Context(), 3, func(n uint64) stand.Asker { return f.fc[n>>40%5] })
+	load := &stand.Claims{Handler: "file-claim", Callers: 10, Repeats: 2, Late: 0.5, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 5}
+	stop := f.asks(load, 4)
+	box := f.boxes[0]
+	if err := box.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	f.ps[0].Reset()
+	store := filepath.Join(box.Dir, "keep")
+	if err := os.RemoveAll(store); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := exec.Command(binary, "keep", "init", "--box", "n1", store).CombinedOutput(); err != nil {
+		t.Fatal(string(out))
+	}
+	began := time.Now()
+	f.start(0)
+	for end := time.Now().Add(15 * time.Second); !strings.Contains(box.Log(), `by="all others"`); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it is never told again: ", box.Log())
+		}
+	}
+	took := time.Since(began)
+	if err := f.boxes[1].Kill(); err != nil {
+		t.Fatal(err)
+	}
+	f.ps[1].Reset()
+	time.Sleep(time.Second)
+	stop()
+	again := &stand.Claims{Handler: "file-claim", Callers: 20, Keys: 25, Repeats: 1, Pause: 2 * time.Millisecond, Patient: 2 * time.Second, CostMS: 5}
+	again.Run(t.Context(), 3, func(n uint64) stand.Asker { return f.fc[[...]int{0, 2, 3, 4}[n>>40%4]] }) // the same keys
+	first, _ := before.Judge(f.effects())
+	sums, wrong := again.Judge(f.effects())
+	_, bad := load.Judge(f.effects())
+	for _, w := range append(wrong, bad...) {
+		t.Error(w)
+	}
+	t.Logf("%+v; %+v; told again within %s", first, sums, took)
+	if first.Served < 450 || sums.Served != first.Keys {
+		t.Error("what was answered is not answered by those that are left")
+	}
+}
--- a/internal/boxwire/boxwire.go
+++ b/internal/boxwire/boxwire.go
@@ -42,6 +42,8 @@
 	Members []members.Message
 	Claims  []takeover.Message
 	Known   *recovery.Answer
+	Telling *takeover.Telling // tell me what I may have lost
+	Page    *takeover.Page
 }
 
 func uintField(b []byte, n protowire.Number, v uint64) []byte {
@@ -103,6 +105,12 @@
 	if k := batch.Known; k != nil {
 		b = part(b, 4, fixedField(boolField(uintField(uintField(nil, 1, k.Life), 2, k.Seq), 3, k.Blank), 4, k.For))
 	}
+	if batch.Telling != nil {
+		b = part(b, 5, appendTelling(nil, batch.Telling))
+	}
+	if batch.Page != nil {
+		b = part(b, 6, appendPage(nil, batch.Page))
+	}
 	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
 	return b
 }
@@ -131,7 +139,11 @@
 		x = boolField(doubleField(doubleField(doubleField(x, 5, w.Size), 6, w.Rank), 7, w.Worth), 8, w.Replay)
 		b = part(b, 10, x)
 	}
-	return uintField(uintField(boolField(b, 11, m.Replay), 12, m.Run), 13, m.Notice)
+	b = uintField(uintField(boolField(b, 11, m.Replay), 12, m.Run), 13, m.Notice)
+	for _, f := range m.Fences {
+		b = part(b, 14, appendFence(nil, f))
+	}
+	return b
 }
 
 // fields calls f for each field; those of a kind that f has no use for are skipped.
@@ -256,6 +268,14 @@
 				}
 				return nil
 			})
+		case 5:
+			t, err := parseTelling(p)
+			batch.Telling = &t
+			return err
+		case 6:
+			page, err := parsePage(p)
+			batch.Page = &page
+			return err
 		}
 		return nil
 	})
@@ -316,10 +336,7 @@
 		case 1:
 			m.Kind = takeover.Kind(v)
 		case 2:
-			if len(p) != len(m.Key) {
-				return ErrFrame
-			}
-			m.Key = keep.Key(p)
+			m.Key, err = parseKey(p)
 		case 3:
 			m.Ballot, err = parseBallot(p)
 		case 4:
@@ -364,6 +381,10 @@
 			m.Run = v
 		case 13:
 			m.Notice = v
+		case 14:
+			var f takeover.Fence
+			f, err = parseFence(p)
+			m.Fences = append(m.Fences, f)
 		}
 		return err
 	})
--- a/internal/cli/cluster.go
+++ b/internal/cli/cluster.go
@@ -37,7 +37,17 @@
 			if len(s.Missing) > 0 {
 				fmt.Fprintf(out, "not answered yet: %s\n", strings.Join(s.Missing, ", "))
 			}
+			if s.Doubts > 0 {
+				fmt.Fprintf(out, "runs whose end the others are asked about: %d\n", s.Doubts)
+			}
 			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+			if len(s.Told) > 0 {
+				fmt.Fprintln(w, "told again by\tso far\tkeys\tpages")
+				for _, t := range s.Told {
+					fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", t.Name, t.State, t.Keys, t.Pages)
+				}
+				fmt.Fprintln(w)
+			}
 			fmt.Fprintln(w, "from before\tit is\tbecause\tat risk")
 			for _, p := range recovery.Pieces {
 				fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", p.Name, p.Trust, p.Why, p.Risk)
--- a/keep/told.go
+++ b/keep/told.go
@@ -123,6 +123,9 @@
 // Whole tells whether the store can answer for all that it has ever had.
 func (s *Store) Whole() bool { return (s.blind == 0 || s.refilled) && !s.failed }
 
+// Printed tells whether a key is among the prints of those that have aged, here or where it was told from; now and then one is that is not.
+func (s *Store) Printed(key Key) bool { return s.printed(key) }
+
 // Tells tells whether what the store has of a key is all that it ever had.
 func (s *Store) Tells(key Key) bool { return s.Whole() || s.proves != nil && s.proves(key) }
 
--- a/recovery/memory.go
+++ b/recovery/memory.go
@@ -14,8 +14,9 @@
 
 // Memories is what a box remembers of the others. Make it with Remember.
 type Memories struct {
-	Of      map[string]*told `json:"of"`
-	blank   bool             // from this process alone
+	Of      map[string]*told  `json:"of"`
+	Fences  map[string]uint64 `json:"fences,omitempty"` // boxes that were told again what they had lost: in that life
+	blank   bool              // from this process alone
 	changed bool
 }
 
@@ -29,6 +30,17 @@
 	return c
 }
 
+// Fence remembers that a box was told again, in that life, what it had lost.
+func (m *Memories) Fence(name string, life uint64) {
+	if m.Fences == nil {
+		m.Fences = map[string]uint64{}
+	}
+	if m.Fences[name] < life {
+		m.Fences[name] = life
+		m.changed = true
+	}
+}
+
 func highest(x, y Memory) Memory {
 	if x.Covers(y) {
 		return x
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -79,7 +79,7 @@
 	Granted Vote = 1
 	Lost    Vote = 2 // a higher ballot was granted
 	Held    Vote = 3 // by By
-	Running Vote = 4 // begun by By, and nothing was heard of its end
+	Running Vote = 4 // begun by By, and nothing was heard of its end; with End: that is on its way to the disk
 	Over    Vote = 5 // End and Result say how
 	Doubted Vote = 6 // begun, and how it ended is not known
 	Gone    Vote = 7 // its result has aged out
@@ -152,6 +152,7 @@
 	waiting map[string]bool
 	lostAt  time.Duration // since when its holder seems lost; 0 it doesn't
 	replay  bool
+	ending  bool   // its end is on its way to the disk
 	over    bool   // replay: it ran, with this result
 	result  []byte // replay
 	run     uint64 // at its holder's processor
@@ -675,7 +676,7 @@
 		case keep.Begin:
 			n.durable = true
 			b.send(n.ballot.Box, Message{Kind: Begun, Key: key, Ballot: n.ballot, Vote: Granted})
-		case keep.Done:
+		case keep.Done, keep.Repeat:
 			b.forget(key, n)
 			b.send(n.ballot.Box, Message{Kind: Ended, Key: key, Ballot: n.ballot, Vote: Granted})
 			b.tellWaiting(key, n, keep.Result, o.Result)
@@ -762,11 +763,16 @@
 		}
 		v := Held
 		switch {
+		case n.filled && b.store.Printed(m.Key):
+			return Message{Vote: Gone}
 		case n.filled && !b.store.Tells(m.Key):
 			return Message{Vote: Silent}
 		case n.begun:
 			v = Running
 		}
+		if n.ending {
+			return Message{Vote: v, By: n.ballot, End: keep.Result}
+		}
 		return Message{Vote: v, By: n.ballot}
 	}
 	if m.Replay {
@@ -781,6 +787,9 @@
 	case keep.Broken:
 		return Message{Vote: Over, End: keep.Failed}
 	case keep.InDoubt:
+		if b.store.Printed(m.Key) { // it ended where it has aged since
+			return Message{Vote: Gone}
+		}
 		if !b.store.Tells(m.Key) { // how it ended may be what this disk lacks
 			return Message{Vote: Silent}
 		}
@@ -802,7 +811,7 @@
 		n.ballot = m.Ballot
 		v = Message{Vote: Granted}
 	case v.Vote == Held && (m.Force || n.ballot.Box == from) && m.Ballot.compare(n.ballot) > 0,
-		v.Vote == Running && !n.filled && n.ballot.Box == from && n.ballot.Life == m.Ballot.Life && m.Ballot.compare(n.ballot) > 0:
+		v.Vote == Running && !n.filled && !n.ending && n.ballot.Box == from && n.ballot.Life == m.Ballot.Life && m.Ballot.compare(n.ballot) > 0:
 		if v.Vote == Running { // who was about to begin has not, and gives that ballot up
 			b.stored(b.store.Ended(b.now, m.Key, keep.Never, nil))
 			b.forget(m.Key, n)
@@ -951,6 +960,7 @@
 		answer(Granted)
 		return
 	}
+	n.ending = true
 	b.stored(b.store.Ended(b.now, m.Key, m.End, m.Result)) // acknowledged when it is durable
 }
 
@@ -1063,7 +1073,7 @@
 // decide looks at what the group has said so far.
 func (b *Box) decide(c *claim) {
 	var over, by *Message
-	doubted, gone, silent, full := false, false, false, false
+	doubted, ending, gone, silent, full := false, false, false, false, false
 	for _, name := range b.all(c.key) {
 		m, ok := c.votes[name]
 		if !ok {
@@ -1075,6 +1085,7 @@
 				over = &m.Message
 			}
 		case Running:
+			ending = ending || m.End != 0
 			if by == nil || by.Vote != Running || m.By.compare(by.By) > 0 {
 				by = &m.Message
 			}
@@ -1108,7 +1119,7 @@
 	case gone: // it did end, though some never heard of that
 		b.dropGrants(c)
 		b.tellAll(c, keep.TooLate, nil)
-	case by != nil && by.Vote == Running && b.lost(by.By), doubted && (by == nil || by.Vote != Running):
+	case !ending && (by != nil && by.Vote == Running && b.lost(by.By) || doubted && (by == nil || by.Vote != Running)):
 		b.dropGrants(c)
 		if c.asked >= c.since { // who came since may have a right to better
 			b.look(c)
@@ -1121,7 +1132,7 @@
 		b.tellAll(c, v, nil)
 	case c.stage == peeking && b.voted(c, None):
 		b.tellAll(c, keep.Fresh, nil)
-	case by != nil && (by.Vote == Running || !b.lost(by.By)) && by.By.Box != b.cfg.Name:
+	case by != nil && (ending || (by.Vote == Running || !b.lost(by.By)) && by.By.Box != b.cfg.Name):
 		if !b.contests(c, by) {
 			b.waitFor(c, by.By)
 		}
