After a loss: who can't be vouched for is in part; an operator's word; ill disks and clocks in the rig

Need: a box that too few could vouch for trusted its disk after a minute; with an empty disk it then made a majority with another that had not noted what ran (found by reading the case 'first back alone, last back holds the only result'). It is in part now, and is told again by the others. frosthub recovery trust|forget BOX: an operator's word to a running box, recorded, with what follows from it printed; a box in part notes ends that others pass on. Builds with the tag powerloss take a wrong clock and disks that are full, read-only or slow.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -267,7 +267,7 @@
 // clock takes the time of this turn, from both clocks at one moment.
 func (b *Backend) clock() time.Time {
 	t := time.Now()
-	b.now, b.unix, b.wall = t.Sub(b.start), t.UnixMilli(), time.Duration(t.UnixNano())
+	b.now, b.unix, b.wall = t.Sub(b.start), t.UnixMilli(), time.Duration(t.UnixNano())+clockWrong
 	return t
 }
 
--- a/backend/refill.go
+++ b/backend/refill.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"errors"
+
 	"frosthub/keep"
 	"frosthub/recovery"
 	"frosthub/takeover"
@@ -26,6 +28,11 @@
 		return
 	}
 	r := recovery.NewRefill[takeover.Cursor](recovery.RefillConfig{Life: c.life, Others: c.others()}, c.mark)
+	for _, name := range c.others() {
+		if c.known.Forgotten(name) {
+			r.Without(name)
+		}
+	}
 	c.refill.from = r
 	c.store.Proves(func(key keep.Key) bool { return r.Covers(c.box.Others(key)) })
 }
@@ -89,7 +96,13 @@
 	if info.Last {
 		b.log.Info("told again", "by", from, "whole", info.Full)
 	}
-	if !r.Done() {
+	c.toldAll()
+}
+
+// toldAll follows the end of the telling, if it has come.
+func (c *cluster) toldAll() {
+	b := c.b
+	if c.refill.from == nil || !c.refill.from.Done() {
 		return
 	}
 	kept := c.store.Refilled(b.keeper.now())
@@ -98,6 +111,63 @@
 	c.follow()
 }
 
+// Errors of what an operator says to a running box.
+var (
+	ErrNoCluster = errors.New("no cluster here, or its store is still being read")
+	ErrNoBox     = errors.New("no box of the cluster but this one has that name")
+	ErrAlive     = errors.New("that box seems to be alive")
+	ErrNoDoubt   = errors.New("nothing of this box's disk is in doubt")
+)
+
+// Trust takes an operator's word that this box's disk is all that there is, and that what it may lack is not asked for any more, or may run twice.
+// It is recorded in the store.
+func (b *Backend) Trust() (err error) {
+	b.ask(func() {
+		c := &b.cluster
+		switch {
+		case c.way == nil:
+			err = ErrNoCluster
+		case c.store.Whole() && c.way.Phase() != recovery.Asking:
+			err = ErrNoDoubt
+		default:
+			b.log.Warn("recovery", "said", "an operator answers for the disk")
+			c.store.Accept(b.keeper.now())
+			c.refill.from = nil
+			c.way.Trusts()
+			c.follow()
+			b.keeper.hand()
+		}
+	})
+	return err
+}
+
+// Forget takes an operator's word that a box of the cluster never comes back: nobody here waits for what it may know. It is recorded beside the
+// store, and ends when that box is heard after all.
+func (b *Backend) Forget(name string) (err error) {
+	b.ask(func() {
+		c := &b.cluster
+		switch {
+		case c.way == nil:
+			err = ErrNoCluster
+		case c.links[name] == nil:
+			err = ErrNoBox
+		case c.box != nil && c.Alive(name):
+			err = ErrAlive
+		default:
+			b.log.Warn("recovery", "said", "a box never comes back", "box", name)
+			c.known.Forget(name, b.keeper.now())
+			c.way.Members(c.witnesses())
+			c.way.Tick(b.now)
+			if c.refill.from != nil {
+				c.refill.from.Without(name)
+				c.toldAll()
+			}
+			c.follow()
+		}
+	})
+	return err
+}
+
 // wants tells whether a link has something to send.
 func (l *boxLink) wants() bool {
 	x := &l.batch
--- a/backend/return.go
+++ b/backend/return.go
@@ -69,7 +69,7 @@
 	for _, list := range [][]ClusterMember{c.lists.Members, c.lists.Before} {
 		n := 0
 		for _, name := range takeover.Group(plain(list), key, witnessMost+1) {
-			if name == c.b.cfg.Name || n == witnessMost {
+			if name == c.b.cfg.Name || n == witnessMost || c.known.Forgotten(name) {
 				continue
 			}
 			if n++; !slices.Contains(names, name) {
@@ -96,7 +96,7 @@
 		if a.Lost {
 			lost = true
 			c.store.Older(b.keeper.now())
-			b.log.Error("store older than known", "life", c.life, "so", "what it does not have is not taken for fresh until the horizon has passed")
+			b.log.Error("store older than known", "life", c.life, "why", c.way.Why(), "so", "what it does not have is not taken for fresh until the horizon has passed")
 		}
 		if a.Life > 0 {
 			if !c.store.Raise(a.Life) {
@@ -127,6 +127,10 @@
 		a := c.known.Answer(h.From, h.Mark)
 		c.links[h.From].batch.Known = &a
 	}
+	if c.known.Back(h.From) {
+		c.b.log.Warn("recovery", "back", h.From, "so", "it is waited for again")
+		c.way.Members(c.witnesses())
+	}
 	c.known.Hear(h.From, h.Mark, recovery.Memory{Life: h.Life, Seq: h.Seq})
 }
 
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -26,6 +26,11 @@
 	pathJSON  = "/figures"
 	pathKeep  = "/keep"
 	pathBoxes = "/cluster"
+	pathTrust = "/recovery/trust"
+	pathGone  = "/recovery/forget"
+
+	// SaidBy is a header that what changes something must have: a page in a browser can't send it here unasked.
+	SaidBy = "Frosthub-Said-By"
 )
 
 // Source has the figures.
@@ -34,6 +39,8 @@
 	FiguresRecorded() bool
 	KeepStats() *backend.KeepStats       // nil where nothing is kept
 	ClusterStats() *backend.ClusterStats // nil without a cluster
+	Trust() error
+	Forget(box string) error
 }
 
 // collector makes Prometheus' metrics of a source's figures.
@@ -160,6 +167,21 @@
 	asJSON(pathJSON, func() any { return of.Figures() })
 	asJSON(pathBoxes, func() any { return of.ClusterStats() })
 	asJSON(pathKeep, func() any { return of.KeepStats() })
+	said := func(path string, do func(r *http.Request) error) {
+		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(SaidBy) == "" {
+				http.Error(w, "said by nobody", http.StatusForbidden)
+				return
+			}
+			if err := do(r); err != nil {
+				http.Error(w, err.Error(), http.StatusConflict)
+				return
+			}
+			log.Warn("admin", "said", path, "by", r.Header.Get(SaidBy))
+		})
+	}
+	said(pathTrust, func(*http.Request) error { return of.Trust() })
+	said(pathGone, func(r *http.Request) error { return of.Forget(r.URL.Query().Get("box")) })
 	s := &http.Server{Handler: mux, ReadTimeout: readFor, WriteTimeout: writeFor, IdleTimeout: idleFor, MaxHeaderBytes: headMost,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	log.Info("admin", "listen", ln.Addr().String())
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -220,6 +220,13 @@
 		Members: []backend.MemberStats{{Name: "n1", Life: 2, State: "alive", Goes: "as here"}, {Name: "n2", Life: 7, State: "suspected", Goes: "unknown"}}, Reqs: []takeover.Req{
 			{Key: "00112233445566778899aabbccddeeff", Handler: "file-claim", Part: "notes", Step: "begun", Holder: "n2", Left: 1500 * time.Millisecond}}}
 }
+func (s source) Trust() error { return backend.ErrNoDoubt }
+func (s source) Forget(box string) error {
+	if box != "n9" {
+		return backend.ErrNoBox
+	}
+	return nil
+}
 func (s source) KeepStats() *backend.KeepStats { return nil }
 
 // TestAdmin: what is served adds up as Prometheus reads it.
@@ -283,6 +290,23 @@
 		"key           handler     part   step   holder  time left  taken over\n001122334455  file-claim  notes  begun  n2      1.5s       \n" {
 		t.Error(out, err)
 	}
+	for _, c := range []struct {
+		args []string
+		err  string
+	}{
+		{[]string{"forget", "n9", "--yes"}, ""},
+		{[]string{"forget", "n9"}, "nothing was done"},
+		{[]string{"forget", "n2", "--yes"}, backend.ErrNoBox.Error()},
+		{[]string{"trust", "--yes"}, backend.ErrNoDoubt.Error()},
+	} {
+		out, _, err := run("-", append(append([]string{"recovery"}, c.args...), "--admin", address)...)
+		if (err == nil) != (c.err == "") || err != nil && !strings.Contains(err.Error(), c.err) || !strings.Contains(out, "second time") {
+			t.Error(c.args, out, err)
+		}
+	}
+	if r, err := http.Post("http://"+address+"/recovery/trust", "", nil); err != nil || r.StatusCode != http.StatusForbidden {
+		t.Error("said by nobody, and heard: ", err)
+	}
 	if _, _, err := run("-", "cluster"); err == nil {
 		t.Error("asked nobody")
 	}
--- a/internal/cli/cluster.go
+++ b/internal/cli/cluster.go
@@ -1,11 +1,14 @@
 package cli
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -13,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"frosthub/backend"
+	"frosthub/internal/admin"
 	"frosthub/recovery"
 )
 
@@ -32,28 +36,7 @@
 			return nil
 		}),
 		boxCommand("members", "Show which boxes a running box takes for alive, and by which lists they go", printMembers),
-		boxCommand("recovery", "Show how far a running box's way back is, and what it trusts from before", func(out io.Writer, s *backend.ClusterStats) error {
-			fmt.Fprintf(out, "%s: %s\n", s.Phase, s.PhaseWhy)
-			if len(s.Missing) > 0 {
-				fmt.Fprintf(out, "not answered yet: %s\n", strings.Join(s.Missing, ", "))
-			}
-			if s.Doubts > 0 {
-				fmt.Fprintf(out, "runs whose end the others are asked about: %d\n", s.Doubts)
-			}
-			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-			if len(s.Told) > 0 {
-				fmt.Fprintln(w, "told again by\tso far\tkeys\tpages")
-				for _, t := range s.Told {
-					fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", t.Name, t.State, t.Keys, t.Pages)
-				}
-				fmt.Fprintln(w)
-			}
-			fmt.Fprintln(w, "from before\tit is\tbecause\tat risk")
-			for _, p := range recovery.Pieces {
-				fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", p.Name, p.Trust, p.Why, p.Risk)
-			}
-			return w.Flush()
-		}),
+		recoveryCommand(),
 		boxCommand("takeover", "Show the reqs that a running box holds, waits for, or has noted for others", func(out io.Writer, s *backend.ClusterStats) error {
 			printWork(out, s)
 			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
@@ -70,6 +53,77 @@
 	}
 }
 
+func recoveryCommand() *cobra.Command {
+	c := boxCommand("recovery", "Show how far a running box's way back is, and what it trusts from before", func(out io.Writer, s *backend.ClusterStats) error {
+		fmt.Fprintf(out, "%s: %s\n", s.Phase, s.PhaseWhy)
+		if len(s.Missing) > 0 {
+			fmt.Fprintf(out, "not answered yet: %s\n", strings.Join(s.Missing, ", "))
+		}
+		if s.Doubts > 0 {
+			fmt.Fprintf(out, "runs whose end the others are asked about: %d\n", s.Doubts)
+		}
+		w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+		if len(s.Told) > 0 {
+			fmt.Fprintln(w, "told again by\tso far\tkeys\tpages")
+			for _, t := range s.Told {
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", t.Name, t.State, t.Keys, t.Pages)
+			}
+			fmt.Fprintln(w)
+		}
+		fmt.Fprintln(w, "from before\tit is\tbecause\tat risk")
+		for _, p := range recovery.Pieces {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", p.Name, p.Trust, p.Why, p.Risk)
+		}
+		return w.Flush()
+	})
+	c.AddCommand(
+		saidCommand("trust", "Say that a box's disk is all that there is", cobra.NoArgs,
+			"The box takes all that it does not know for never run. What ran and is missing on its disk may run a second time, if it is asked for again\n"+
+				"and the other boxes of its group are away, or lost it too.", func([]string) string { return "/recovery/trust" }),
+		saidCommand("forget BOX", "Say that another box never comes back", cobra.ExactArgs(1),
+			"This box does not wait any more for what that one may know. What only these two had noted is taken for never run, and may run a second time\n"+
+				"if it is asked for again. Say it to each box that waits. It ends by itself if that box is heard after all.",
+			func(args []string) string { return "/recovery/forget?box=" + url.QueryEscape(args[0]) }))
+	return c
+}
+
+// saidCommand says something to a running box that can't be taken back: without --yes it says what follows from it, and does nothing.
+func saidCommand(use, short string, args cobra.PositionalArgs, follows string, path func(args []string) string) *cobra.Command {
+	var address string
+	var yes bool
+	c := &cobra.Command{Use: use, Short: short, Long: short + ".\n\n" + follows, Args: args, RunE: func(c *cobra.Command, args []string) error {
+		if address == "" {
+			return errNoAddress
+		}
+		fmt.Fprintln(c.OutOrStdout(), follows)
+		if !yes {
+			return errors.New("nothing was done: --yes does it")
+		}
+		r, err := http.NewRequestWithContext(c.Context(), http.MethodPost, "http://"+address+path(args), nil)
+		if err != nil {
+			return err
+		}
+		r.Header.Set(admin.SaidBy, cmp.Or(os.Getenv("USER"), "an operator"))
+		client := http.Client{Timeout: askFor}
+		got, err := client.Do(r)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = got.Body.Close() }()
+		if got.StatusCode != http.StatusOK {
+			why, _ := io.ReadAll(io.LimitReader(got.Body, 1<<10))
+			return fmt.Errorf("%s: %s", address, strings.TrimSpace(string(why)))
+		}
+		fmt.Fprintln(c.OutOrStdout(), "done, and recorded")
+		return nil
+	}}
+	c.Flags().StringVar(&address, "admin", "", "the address of the box's \"admin listen\"")
+	c.Flags().BoolVar(&yes, "yes", false, "do it")
+	return c
+}
+
+var errNoAddress = errors.New("--admin: the address of the box's \"admin listen\"")
+
 func boxCommand(use, short string, show func(io.Writer, *backend.ClusterStats) error) *cobra.Command {
 	var address string
 	var asJSON bool
@@ -98,7 +152,7 @@
 // askCluster asks a box how it sees its cluster.
 func askCluster(address string) (*backend.ClusterStats, error) {
 	if address == "" {
-		return nil, errors.New("--admin: the address of the box's \"admin listen\"")
+		return nil, errNoAddress
 	}
 	client := http.Client{Timeout: askFor}
 	r, err := client.Get("http://" + address + "/cluster")
--- a/internal/keeplog/folder_powerloss.go
+++ b/internal/keeplog/folder_powerloss.go
@@ -8,6 +8,9 @@
 	"io/fs"
 	"os"
 	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Folder is the system's file system in that folder, which notes beside each file how much of it was confirmed, and which changes of names
@@ -19,8 +22,27 @@
 	DurableMark = ".durable."
 	PendingName = ".pending"
 	OldMark     = ".old."
+	FaultName   = ".fault" // how the disk fails: "full", "read-only", or a time that each confirmation takes
 )
 
+// fault is how the disk fails now; a slow one takes its time.
+func (n *noted) fault() error {
+	text, err := os.ReadFile(n.path(FaultName))
+	if err != nil {
+		return nil // it does not
+	}
+	switch word := strings.TrimSpace(string(text)); word {
+	case "full":
+		return unix.ENOSPC
+	case "read-only":
+		return unix.EROFS
+	default:
+		d, err := time.ParseDuration(word)
+		time.Sleep(d)
+		return err
+	}
+}
+
 type noted struct {
 	folder
 	olds int
@@ -129,6 +151,9 @@
 }
 
 func (f *notedFile) Write(p []byte) (int, error) {
+	if err := f.n.fault(); err != nil {
+		return 0, err
+	}
 	k, err := f.File.Write(p)
 	f.size += int64(k)
 	return k, err
--- a/internal/stand/box.go
+++ b/internal/stand/box.go
@@ -28,9 +28,10 @@
 	StopMS      int
 	Conf        string // lines of the operator's file; empty: none
 	Cores       float64
-	Sockets     int  // 1024 if 0
-	ProcCores   int  // of the processor, as the settings tell them; 2 if 0
-	Plain       bool // an earlier version, which knows no commands
+	Sockets     int           // 1024 if 0
+	ProcCores   int           // of the processor, as the settings tell them; 2 if 0
+	Plain       bool          // an earlier version, which knows no commands
+	Clock       time.Duration // by how much its time of day is wrong, where it is built with the tag powerloss
 
 	cmd *exec.Cmd
 	log lockedBuffer
@@ -141,7 +142,7 @@
 		args = append(args, "--conf", conf)
 	}
 	b.cmd = exec.Command(b.Binary, args...)
-	b.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+config)
+	b.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+config, "FROSTHUB_CLOCK="+b.Clock.String())
 	b.cmd.Stderr = &b.log
 	return b.cmd.Start()
 }
--- a/recovery/memory.go
+++ b/recovery/memory.go
@@ -1,6 +1,9 @@
 package recovery
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 const pastMost = 8 // processes of a box before its last that are told from it
 
@@ -14,9 +17,10 @@
 
 // Memories is what a box remembers of the others. Make it with Remember.
 type Memories struct {
-	Of      map[string]*told  `json:"of"`
-	Fences  map[string]uint64 `json:"fences,omitempty"` // boxes that were told again what they had lost: in that life
-	blank   bool              // from this process alone
+	Of      map[string]*told         `json:"of"`
+	Fences  map[string]uint64        `json:"fences,omitempty"` // boxes that were told again what they had lost: in that life
+	Gone    map[string]time.Duration `json:"gone,omitempty"`   // boxes that never come back, by an operator's word, and when that was given: since 1970
+	blank   bool                     // from this process alone
 	changed bool
 }
 
@@ -41,6 +45,28 @@
 	}
 }
 
+// Forget takes an operator's word that a box never comes back: nobody waits for what it may know.
+func (m *Memories) Forget(name string, at time.Duration) {
+	if m.Gone == nil {
+		m.Gone = map[string]time.Duration{}
+	}
+	m.Gone[name] = at
+	m.changed = true
+}
+
+// Forgotten tells whether an operator has said that a box never comes back, and it has not been heard since.
+func (m *Memories) Forgotten(name string) bool { return m.Gone[name] > 0 }
+
+// Back takes note of a forgotten box that is there after all, and tells whether it was one.
+func (m *Memories) Back(name string) bool {
+	was := m.Forgotten(name)
+	if was {
+		delete(m.Gone, name)
+		m.changed = true
+	}
+	return was
+}
+
 func highest(x, y Memory) Memory {
 	if x.Covers(y) {
 		return x
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -21,7 +21,7 @@
 	Cold    Phase = iota // it runs, and has nothing yet
 	Reading              // its store is being read
 	Asking               // it knows what its disk has, and asks whether that is all
-	Part                 // its disk is older than what others know: what it does not have it does not know
+	Part                 // its disk is older than what others know, or may be: what it does not have it does not know
 	Serving              // it trusts its disk
 )
 
@@ -98,7 +98,7 @@
 	Mark    uint64 // of this process
 	Others  []string
 	Patient time.Duration // for all others: then a majority of them is enough
-	Alone   time.Duration // for any majority: then its own disk is
+	Alone   time.Duration // for any majority: then its disk is taken for older than what others know
 	Horizon time.Duration // how long a req may be asked for again: past that nothing is left that it could not know
 }
 
@@ -245,8 +245,10 @@
 	case len(b.answers) == len(b.cfg.Others) && 2*good >= len(b.cfg.Others),
 		waited >= b.cfg.Patient && 2*good >= len(b.cfg.Others): // with itself a majority of all
 		b.enter(Serving, "most others know of nothing more")
-	case waited >= b.cfg.Alone:
-		b.enter(Serving, "nobody who could know more has answered in time")
+	case waited >= b.cfg.Alone: // it is as if they had said so: they may know more, and come back when it has run again what ran
+		b.actions = append(b.actions, Action{Lost: true})
+		b.since = now
+		b.enter(Part, "too few of those who could know more have answered in time")
 	}
 }
 
--- a/recovery/refill.go
+++ b/recovery/refill.go
@@ -12,7 +12,8 @@
 type Refill[P comparable] struct {
 	cfg     RefillConfig
 	sources map[string]*source[P]
-	names   []string // in the order in which they are asked
+	names   []string        // in the order in which they are asked
+	without map[string]bool // boxes that never come back, by an operator's word
 	chance  uint64
 	done    bool
 }
@@ -50,7 +51,7 @@
 // NewRefill begins one.
 func NewRefill[P comparable](cfg RefillConfig, seed uint64) *Refill[P] {
 	cfg.Every, cfg.AtOnce = cmp.Or(cfg.Every, pageEvery), cmp.Or(cfg.AtOnce, atOnceMost)
-	r := &Refill[P]{cfg: cfg, chance: seed | 1}
+	r := &Refill[P]{cfg: cfg, without: map[string]bool{}, chance: seed | 1}
 	r.Members(cfg.Others)
 	return r
 }
@@ -59,6 +60,9 @@
 func (r *Refill[P]) Members(others []string) {
 	r.sources, r.names, r.done = map[string]*source[P]{}, nil, false
 	for _, name := range others {
+		if r.without[name] {
+			continue
+		}
 		r.names = append(r.names, name)
 		r.sources[name] = &source[P]{wait: pageWait}
 	}
@@ -68,6 +72,19 @@
 	}
 }
 
+// Without says that a box never comes back: what only that one and this box knew is lost, and taken for never run.
+func (r *Refill[P]) Without(name string) {
+	r.without[name] = true
+	delete(r.sources, name)
+	r.names = slices.DeleteFunc(r.names, func(x string) bool { return x == name })
+	r.look()
+}
+
+// look finds out whether all have told.
+func (r *Refill[P]) look() {
+	r.done = !slices.ContainsFunc(r.names, func(name string) bool { return !r.sources[name].done })
+}
+
 func (r *Refill[P]) draw() uint64 {
 	r.chance ^= r.chance << 13
 	r.chance ^= r.chance >> 7
@@ -156,12 +173,15 @@
 	default:
 		s.askAt = now + r.cfg.Every
 	}
-	r.done = !slices.ContainsFunc(r.names, func(name string) bool { return !r.sources[name].done })
+	r.look()
 }
 
 // Covers tells whether all of these have told all that they know.
 func (r *Refill[P]) Covers(others []string) bool {
-	return !slices.ContainsFunc(others, func(name string) bool { s := r.sources[name]; return s == nil || !s.done })
+	return !slices.ContainsFunc(others, func(name string) bool {
+		s := r.sources[name]
+		return !r.without[name] && (s == nil || !s.done)
+	})
 }
 
 // Any tells whether one of these has, which alone says nothing: a test of the rules has it be enough.
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -933,6 +933,13 @@
 		case keep.Fresh, keep.InDoubt: // others noted its begin, or an earlier life of this box did
 			n = b.newNote(m.Key)
 			n.begun = v == keep.InDoubt
+		case keep.Blind: // that it ended so is known now, whatever this disk has lost
+			if !b.store.Learn(b.now, keep.Told{Key: m.Key}) {
+				answer(Full)
+				return
+			}
+			n = b.newNote(m.Key)
+			n.begun = true
 		default:
 			answer(Full)
 			return
