Starts beside an earlier program, and what reading a long log takes

Need: a start must be as fast as before and bounded in memory where the log holds far more than is kept.

--- a/cmd/frosthub/keep_test.go
+++ b/cmd/frosthub/keep_test.go
@@ -353,23 +353,22 @@
 
 var keepKeys = flag.Int("keepkeys", 20000, "keys in the store of a start; 1000000 outside CI")
 
-// TestKeepScale: a start with many kept keys serves replayable reqs at once, refuses guarded ones until the keys are read, and then
-// knows each.
-func TestKeepScale(t *testing.T) {
-	x, dir := newKeepRig(t, 2, everyReq(time.Millisecond), keeps+fmt.Sprintf("keep entries %d\nkeep bytes %d\n", *keepKeys+1000, *keepKeys*100+1<<20))
-	bounds := keep.Config{Entries: *keepKeys + 1000, Bytes: *keepKeys*100 + 1<<20, ResultMost: 1 << 16, Lifetime: time.Hour,
-		Horizon: 24 * time.Hour, Segments: 64, Prints: *keepKeys/8 + 16, SegmentBytes: 64 << 20}
+// fillStore has a store hold what ran with so many keys, the newest of them as results and the rest as prints.
+func fillStore(t *testing.T, dir string, entries, keys, segment int) {
+	t.Helper()
+	bounds := keep.Config{Entries: entries, Bytes: entries*100 + 1<<20, ResultMost: 1 << 16, Lifetime: time.Hour,
+		Horizon: 24 * time.Hour, Segments: 1000, Prints: segment, SegmentBytes: 64 << 20}
 	s, disk := keep.New(bounds), keeplog.Folder(dir)
 	now := time.Duration(time.Now().UnixNano())
 	w, _, err := keeplog.Start(disk, "n1", s, now, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i := range *keepKeys {
+	for i := range keys {
 		key := keep.Key{0: 1, 8: byte(i >> 16), 9: byte(i >> 8), 10: byte(i)}
 		s.Arrive(now, 0, key, uint64(i+1))
 		s.Ended(now, key, keep.Result, []byte("a result of some bytes"))
-		if i%1000 == 0 || i == *keepKeys-1 {
+		if i%1000 == 0 || i == keys-1 {
 			seq, err := w.Commit(s.Writes())
 			if err != nil {
 				t.Fatal(err)
@@ -380,6 +379,63 @@
 	if err := w.Close(); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// TestKeepStart measures how soon a box with an empty and a small log has read it, beside an earlier program, and what reading a log takes that holds ten
+// and twenty times as many keys as the box is to keep.
+func TestKeepStart(t *testing.T) {
+	if *keepPairs == 0 || *baseline == "" {
+		t.Skip("asked for by -keeppairs and -baseline")
+	}
+	const entries = 20000
+	conf := keeps + fmt.Sprintf("keep entries %d\nkeep bytes %d\n", entries, entries*100+1<<20)
+	start := func(program string, keys int) (time.Duration, int) {
+		x, dir := newKeepRig(t, 2, everyReq(time.Millisecond), conf)
+		if keys > 0 {
+			fillStore(t, dir, max(entries, keys), keys, entries/8)
+		}
+		x.box.Binary = program
+		began := time.Now()
+		if err := x.box.Launch(); err != nil {
+			t.Fatal(err)
+		}
+		for !strings.Contains(x.box.Log(), "took=") {
+			if time.Since(began) > 20*time.Second {
+				t.Fatal(x.box.Log())
+			}
+			time.Sleep(100 * time.Microsecond)
+		}
+		took := time.Since(began)
+		kb, err := x.box.Peak()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := x.box.Drain(); err != nil {
+			t.Fatal(err)
+		}
+		return took, kb / 1024
+	}
+	for _, keys := range []int{0, 500} {
+		var ratios []float64
+		for range *keepPairs {
+			now, _ := start(binary, keys)
+			before, _ := start(*baseline, keys)
+			ratios = append(ratios, now.Seconds()/before.Seconds())
+		}
+		slices.Sort(ratios)
+		t.Logf("%d keys: time to read the store, of what it was before: %.2f, median %.2f", keys, ratios, ratios[len(ratios)/2])
+	}
+	for _, keys := range []int{entries, 10 * entries, 20 * entries} {
+		took, mb := start(binary, keys)
+		t.Logf("%d keys, %d are kept: read within %s, %d MB at most", keys, entries, took, mb)
+	}
+}
+
+// TestKeepScale: a start with many kept keys serves replayable reqs at once, refuses guarded ones until the keys are read, and then
+// knows each.
+func TestKeepScale(t *testing.T) {
+	x, dir := newKeepRig(t, 2, everyReq(time.Millisecond), keeps+fmt.Sprintf("keep entries %d\nkeep bytes %d\n", *keepKeys+1000, *keepKeys*100+1<<20))
+	fillStore(t, dir, *keepKeys+1000, *keepKeys, *keepKeys/8+16)
 	x.start()
 	defer x.end()
 	began := time.Now()
--- a/internal/stand/box.go
+++ b/internal/stand/box.go
@@ -201,10 +201,15 @@
 }
 
 // Resident is the memory that the process holds now, in kilobytes.
-func (b *Box) Resident() (kb int, err error) {
+func (b *Box) Resident() (kb int, err error) { return b.status("VmRSS:") }
+
+// Peak is the most memory that the running process has held, in kilobytes; unlike what is told of ended ones, nothing of who started it counts.
+func (b *Box) Peak() (kb int, err error) { return b.status("VmHWM:") }
+
+func (b *Box) status(name string) (kb int, err error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", b.cmd.Process.Pid))
 	if err == nil {
-		_, rest, _ := strings.Cut(string(text), "VmRSS:")
+		_, rest, _ := strings.Cut(string(text), name)
 		_, err = fmt.Sscan(rest, &kb)
 	}
 	return kb, err
