Fleets of two versions: who is told again counts it only once all are known to heed fences

Need: a holder that runs an earlier program leaves fences out, and might count a void word. A hello says what its program knows of, the others remember that, and who tells says whether it knows all to heed fences; until then a box in part stays so.

--- a/backend/refill.go
+++ b/backend/refill.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"frosthub/keep"
 	"frosthub/recovery"
@@ -70,6 +71,7 @@
 		return
 	}
 	p := c.box.Page(c.b.keeper.now(), from, *t)
+	p.Heeded = c.known.Heed(slices.DeleteFunc(c.others(), func(name string) bool { return name == from }), recovery.Fences)
 	c.links[from].batch.Page = &p
 	for _, f := range c.box.Fences() {
 		c.known.Fence(f.Box, f.Life)
@@ -88,13 +90,13 @@
 func (c *cluster) toldAgain(from string, life uint64, p *takeover.Page) {
 	b, r := c.b, c.refill.from
 	info := recovery.PageInfo[takeover.Cursor]{Life: p.Life, From: p.From, Next: p.Next, Keys: len(p.Told) + len(p.InHand),
-		Last: p.Next.Step == takeover.StepDone, Full: p.Whole}
+		Last: p.Next.Step == takeover.StepDone, Full: p.Whole && p.Heeded}
 	if r == nil || r.Done() || !c.box.Goes(p) || !r.Wants(from, life, &info) {
 		return
 	}
 	r.Took(b.now, from, &info, c.box.Fill(b.keeper.now(), p))
 	if info.Last {
-		b.log.Info("told again", "by", from, "whole", info.Full)
+		b.log.Info("told again", "by", from, "whole", p.Whole, "fences_heeded", p.Heeded)
 	}
 	c.toldAll()
 }
--- a/backend/return.go
+++ b/backend/return.go
@@ -132,6 +132,7 @@
 		c.way.Members(c.witnesses())
 	}
 	c.known.Hear(h.From, h.Mark, recovery.Memory{Life: h.Life, Seq: h.Seq})
+	c.known.Knows(h.From, h.Knows)
 }
 
 // lookBack does what is due on the way back, tells others how far this box's disk is, and has what it remembers of them recorded.
--- a/backend/roster.go
+++ b/backend/roster.go
@@ -16,6 +16,7 @@
 	"frosthub/internal/conn"
 	"frosthub/internal/keeplog"
 	"frosthub/members"
+	"frosthub/recovery"
 	"frosthub/takeover"
 )
 
@@ -249,5 +250,5 @@
 func (c *cluster) hello(ask bool) []byte {
 	b := c.b
 	return boxwire.Append(nil, &boxwire.Batch{Hello: &boxwire.Hello{Cluster: b.cfg.Cluster.Name, From: b.cfg.Name, Life: c.life,
-		Lists: c.goes, Seq: c.store.Last(), Mark: c.mark, Ask: ask}})
+		Lists: c.goes, Seq: c.store.Last(), Mark: c.mark, Ask: ask, Knows: recovery.Fences}})
 }
--- a/cmd/frosthub/return_test.go
+++ b/cmd/frosthub/return_test.go
@@ -432,3 +432,53 @@
 		}
 	}
 }
+
+var earlier = flag.String("earlier", "", "an earlier program that knows clusters, for fleets of two versions")
+
+// TestVersions has two boxes of five run an earlier program while boxes are killed and one loses its disk: no claim runs twice, and the box in part
+// stays so until all are known to be new.
+func TestVersions(t *testing.T) {
+	if *earlier == "" {
+		t.Skip("asked for by -earlier")
+	}
+	f := prepareFleet(t, 5, 5*time.Millisecond)
+	defer f.end()
+	for i := range f.boxes {
+		f.joins(i, []int{0, 1, 2, 3, 4}, nil)
+	}
+	f.boxes[3].Binary, f.boxes[4].Binary = *earlier, *earlier
+	f.start(0, 1, 2, 3, 4)
+	load := &stand.Claims{Handler: "file-claim", Callers: 20, Repeats: 2, Late: 0.5, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 5}
+	stop := f.asks(load, 5)
+	for i := range f.boxes {
+		time.Sleep(300 * time.Millisecond)
+		if err := f.boxes[i].Kill(); err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			f.empty(0)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if err := f.boxes[i].Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	if strings.Contains(f.boxes[0].Log(), `by="all others"`) {
+		t.Error("told all while older programs run: ", f.boxes[0].Log())
+	}
+	for _, i := range []int{3, 4} {
+		if err := f.boxes[i].Kill(); err != nil {
+			t.Fatal(err)
+		}
+		f.boxes[i].Binary = binary
+		f.start(i)
+	}
+	f.logs(0, 0, `by="all others"`, 20*time.Second)
+	stop()
+	sums, wrong := load.Judge(f.effects())
+	for _, w := range wrong {
+		t.Error(w)
+	}
+	t.Logf("%+v", sums)
+}
--- a/internal/boxwire/boxwire.go
+++ b/internal/boxwire/boxwire.go
@@ -34,6 +34,7 @@
 	Seq           uint64   // its last durable record
 	Mark          uint64   // drawn anew by each process
 	Ask           bool     // what do you remember of me?
+	Knows         uint64   // what its program knows of: see package recovery
 }
 
 // Batch is what one frame carries.
@@ -93,7 +94,7 @@
 			x = protowire.AppendFixed64(protowire.AppendTag(x, 4, protowire.Fixed64Type), d)
 		}
 		x = uintField(x, 5, h.Seq)
-		b = part(b, 1, boolField(fixedField(x, 6, h.Mark), 7, h.Ask))
+		b = part(b, 1, uintField(boolField(fixedField(x, 6, h.Mark), 7, h.Ask), 8, h.Knows))
 	}
 	var room [512]byte
 	for i := range batch.Members {
@@ -241,6 +242,8 @@
 					h.Mark = v
 				case 7:
 					h.Ask = v == 1
+				case 8:
+					h.Knows = v
 				}
 				return nil
 			})
--- a/internal/boxwire/page.go
+++ b/internal/boxwire/page.go
@@ -32,7 +32,7 @@
 func appendPage(b []byte, p *takeover.Page) []byte {
 	b = fixedField(uintField(b, 1, p.Life), 2, p.Goes)
 	b = bytesField(bytesField(b, 3, appendCursor(nil, p.From)), 4, appendCursor(nil, p.Next))
-	b = boolField(b, 5, p.Whole)
+	b = boolField(boolField(b, 5, p.Whole), 9, p.Heeded)
 	for _, t := range p.Told {
 		b = part(b, 6, bytesField(uintField(bytesField(nil, 1, t.Key[:]), 2, uint64(t.Kind)), 3, t.Result))
 	}
@@ -160,6 +160,8 @@
 			var a keep.Aged
 			a, err = parseAged(field)
 			p.Prints = append(p.Prints, a)
+		case 9:
+			p.Heeded = v == 1
 		}
 		return err
 	})
--- a/recovery/memory.go
+++ b/recovery/memory.go
@@ -13,6 +13,7 @@
 	Mark   uint64   `json:"mark"`   // of its process: drawn anew by each
 	Before Memory   `json:"before"` // the highest that processes before that one said
 	Past   []uint64 `json:"past"`   // their marks
+	Knows  uint64   `json:"knows"`  // what the program there knows of: see Heeds
 }
 
 // Memories is what a box remembers of the others. Make it with Remember.
@@ -34,6 +35,22 @@
 	return c
 }
 
+// Fences is what a program knows of that leaves out words of lives before a fence.
+const Fences = 1
+
+// Knows takes what the program of a box says that it knows of: later ones know of all that earlier ones do.
+func (m *Memories) Knows(name string, what uint64) {
+	if t := m.Of[name]; t != nil && t.Knows != what {
+		t.Knows = what
+		m.changed = true
+	}
+}
+
+// Heed tells whether the programs of all these boxes are known to know of something.
+func (m *Memories) Heed(names []string, what uint64) bool {
+	return !slices.ContainsFunc(names, func(name string) bool { return !m.Forgotten(name) && (m.Of[name] == nil || m.Of[name].Knows < what) })
+}
+
 // Fence remembers that a box was told again, in that life, what it had lost.
 func (m *Memories) Fence(name string, life uint64) {
 	if m.Fences == nil {
--- a/takeover/refill.go
+++ b/takeover/refill.go
@@ -48,6 +48,7 @@
 	From   Cursor
 	Next   Cursor
 	Whole  bool // it can answer for all that it has ever had
+	Heeded bool // all other boxes are known to heed fences: an older program does not
 	Told   []keep.Told
 	InHand []InHand
 	Prints []keep.Aged
