members: news of boxes that have left the list goes with them

Need: memory flat over ten times the bound of members was not shown. The test of it found that news of names moved off the list stayed until it had been passed on often enough (101 entries for 50 members after the first move). Now they go with the name; 550 names through a list of 50 leave 51.

--- a/members/members.go
+++ b/members/members.go
@@ -150,6 +150,7 @@
 	for name, p := range l.peers {
 		if !slices.Contains(others, name) {
 			delete(l.peers, name)
+			delete(l.news.last, name) // nobody is told of it any more
 			l.suspected = slices.DeleteFunc(l.suspected, func(q *peer) bool { return q == p })
 			l.probes = slices.DeleteFunc(l.probes, func(q probe) bool { return q.of == name })
 		}
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -176,3 +176,39 @@
 		t.Error("a stranger is taken in")
 	}
 }
+
+// TestBound: what is remembered of boxes follows the list: ten times as many names that come and go, speak and are spoken of leave nothing behind.
+func TestBound(t *testing.T) {
+	const size, rounds = 50, 11
+	names := func(round int) (all []string) {
+		all = append(all, "me")
+		for i := range size {
+			all = append(all, fmt.Sprint("n", round*size+i))
+		}
+		return all
+	}
+	l := New(Config{Name: "me", Life: 1, Others: names(0)}, 3, 0)
+	most, now := 0, time.Duration(0)
+	for round := range rounds {
+		l.Move(names(round))
+		for i, name := range names(round)[1:] {
+			m := Message{Kind: Ping, Number: uint64(i), Updates: []Update{{name, 1, 0, Dead}, {"stranger" + name, 1, 0, Alive}, {fmt.Sprint("n", i), 9, 0, Suspected}}}
+			l.Receive(now, name, 1, &m)
+		}
+		for range 100 {
+			now += 50 * time.Millisecond
+			l.Tick(now)
+			sends, _ := l.Take()
+			for _, s := range sends {
+				most = max(most, len(s.Updates))
+			}
+		}
+		if len(l.peers) != size || len(l.order) != size || len(l.probes) > size || len(l.suspected) > size || len(l.news.last) > size+1 {
+			t.Fatalf("round %d: %d peers, %d in order, %d probes, %d suspected, %d news", round, len(l.peers), len(l.order), len(l.probes),
+				len(l.suspected), len(l.news.last))
+		}
+	}
+	if most == 0 || most > 20 {
+		t.Error("updates in a message: ", most)
+	}
+}
