Keys in doubt by handler: an intent's record says whose it is

Need: who looks at a box after a loss could see how many keys are in doubt, and not of what. The record of an intent has the handler's name, which earlier programs skip; frosthub recovery shows the keys in doubt by handler. Checked by rapid: the sum by handler is the number in doubt, through ends that turn up, aging and restarts.

--- a/backend/cluster.go
+++ b/backend/cluster.go
@@ -401,10 +401,11 @@
 	Why      string              `json:"why"`    // it does not go by the lists of its file
 	Phase    string              `json:"phase"`  // of its way back
 	PhaseWhy string              `json:"phase_why"`
-	Missing  []string            `json:"missing"` // while it asks: who has not answered
-	Told     []recovery.Progress `json:"told"`    // where its disk lacked something: how far each of the others has told it again
-	Doubts   int                 `json:"doubts"`  // keys whose end the others are asked about
-	Unwell   int                 `json:"unwell"`  // how slow this box takes itself to be, 0 to 8
+	Missing  []string            `json:"missing"`  // while it asks: who has not answered
+	Told     []recovery.Progress `json:"told"`     // where its disk lacked something: how far each of the others has told it again
+	Doubts   int                 `json:"doubts"`   // keys whose end the others are asked about
+	InDoubt  map[string]int      `json:"in_doubt"` // keys whose end is not known, by handler; "" where that is not known
+	Unwell   int                 `json:"unwell"`   // how slow this box takes itself to be, 0 to 8
 	Members  []MemberStats       `json:"members"`
 	Work     takeover.Stats      `json:"work"`
 	Reqs     []takeover.Req      `json:"reqs"` // some of those that are held, waited for or noted
@@ -431,6 +432,7 @@
 		if c.box == nil {
 			return
 		}
+		out.InDoubt = c.store.DoubtsOf()
 		if out.Doubts = c.refill.doubts.Left(); c.refill.from != nil {
 			out.Told = c.refill.from.Progress()
 		}
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -430,7 +430,7 @@
 		k.b.cluster.box.Begin(k.now(), r.guard.key, r.id, k.b.link.last)
 		return
 	}
-	if o := k.store.Arrive(k.now(), r.guard.made, r.guard.key, r.id); o.Verdict != keep.Wait {
+	if o := k.store.Arrive(k.now(), r.guard.made, r.guard.key, k.b.handlers[r.h].name, r.id); o.Verdict != keep.Wait {
 		k.outcome(o)
 	}
 }
@@ -447,7 +447,7 @@
 		return
 	}
 	r.at = joined
-	if o := k.store.Arrive(k.now(), r.guard.made, r.guard.key, r.id); o.Verdict != keep.Wait {
+	if o := k.store.Arrive(k.now(), r.guard.made, r.guard.key, k.b.handlers[r.h].name, r.id); o.Verdict != keep.Wait {
 		k.outcome(o)
 	}
 }
--- a/cmd/frosthub/keep_test.go
+++ b/cmd/frosthub/keep_test.go
@@ -366,7 +366,7 @@
 	}
 	for i := range keys {
 		key := keep.Key{0: 1, 8: byte(i >> 16), 9: byte(i >> 8), 10: byte(i)}
-		s.Arrive(now, 0, key, uint64(i+1))
+		s.Arrive(now, 0, key, "file-claim", uint64(i+1))
 		s.Ended(now, key, keep.Result, []byte("a result of some bytes"))
 		if i%1000 == 0 || i == keys-1 {
 			seq, err := w.Commit(s.Writes())
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -166,7 +166,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.Arrive(now, 0, keep.Key{key}, 1)
+		s.Arrive(now, 0, keep.Key{key}, "", 1)
 		if end > 0 {
 			s.Ended(now, keep.Key{key}, end, []byte("yes"))
 		}
@@ -216,7 +216,7 @@
 func (s source) Figures() account.Report { return s.report }
 func (s source) FiguresRecorded() bool   { return true }
 func (s source) ClusterStats() *backend.ClusterStats {
-	return &backend.ClusterStats{Name: "north", Life: 2, Phase: "asking", PhaseWhy: "others are asked", Missing: []string{"n2"},
+	return &backend.ClusterStats{Name: "north", Life: 2, Phase: "asking", PhaseWhy: "others are asked", Missing: []string{"n2"}, InDoubt: map[string]int{"file-claim": 3, "": 1},
 		Members: []backend.MemberStats{{Name: "n1", Life: 2, State: "alive", Goes: "as here"}, {Name: "n2", Life: 7, State: "suspected", Goes: "unknown"}}, Reqs: []takeover.Req{
 			{Key: "00112233445566778899aabbccddeeff", Handler: "file-claim", Part: "notes", Step: "begun", Holder: "n2", Left: 1500 * time.Millisecond}}}
 }
@@ -283,7 +283,8 @@
 	if out, _, err := run("-", "members", "--admin", address); err != nil || out != members {
 		t.Error(out, err)
 	}
-	if out, _, err := run("-", "recovery", "--admin", address); err != nil || !strings.HasPrefix(out, "asking: others are asked\nnot answered yet: n2\n") {
+	if out, _, err := run("-", "recovery", "--admin", address); err != nil || !strings.HasPrefix(out, "asking: others are asked\nnot answered yet: n2\n"+
+		"in doubt: 1 of handlers that are not known\nin doubt: 3 of file-claim\n") {
 		t.Error(out, err)
 	}
 	if out, _, err := run("-", "takeover", "--admin", address); err != nil || out != work+
--- a/internal/cli/cluster.go
+++ b/internal/cli/cluster.go
@@ -6,9 +6,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -59,6 +61,9 @@
 		if len(s.Missing) > 0 {
 			fmt.Fprintf(out, "not answered yet: %s\n", strings.Join(s.Missing, ", "))
 		}
+		for _, of := range slices.Sorted(maps.Keys(s.InDoubt)) {
+			fmt.Fprintf(out, "in doubt: %d of %s\n", s.InDoubt[of], cmp.Or(of, "handlers that are not known"))
+		}
 		if s.Doubts > 0 {
 			fmt.Fprintf(out, "runs whose end the others are asked about: %d\n", s.Doubts)
 		}
--- a/internal/keeplog/crash_test.go
+++ b/internal/keeplog/crash_test.go
@@ -137,7 +137,7 @@
 		}
 		l.ids++
 		l.keyOf[l.ids] = key
-		l.heed([]keep.Outcome{l.s.Arrive(l.now, l.first[key], keyOf(key), l.ids)})
+		l.heed([]keep.Outcome{l.s.Arrive(l.now, l.first[key], keyOf(key), "", l.ids)})
 	case n < 7 && len(l.running) > 0:
 		i := l.r.IntN(len(l.running))
 		id := l.running[i]
--- a/internal/keeplog/read_test.go
+++ b/internal/keeplog/read_test.go
@@ -25,7 +25,7 @@
 	s, w := reopen(t, d, noon)
 	for i := range 60 {
 		at := noon + time.Duration(i)*time.Second
-		s.Arrive(at, at, keyOf(i), uint64(i+1))
+		s.Arrive(at, at, keyOf(i), "", uint64(i+1))
 		commit(t, s, w)
 		if i < 20 || i%10 != 9 { // some stay without an end
 			s.Ended(at, keyOf(i), keep.Result, resultOf(i))
@@ -208,7 +208,7 @@
 		confirmed := uint64(0)
 		for i := 100; i < 160; i++ { // enough to open, retire and drop segments
 			at := noon + time.Duration(i)*6*time.Second
-			s.Arrive(at, at, keyOf(i), uint64(i))
+			s.Arrive(at, at, keyOf(i), "", uint64(i))
 			s.Ended(at, keyOf(i), keep.Failed, nil)
 			s.Tidy(at)
 			l.Append(s.Writes())
@@ -278,7 +278,7 @@
 	const keys = 1_000_000
 	result := make([]byte, 100)
 	for i := range keys {
-		s.Arrive(noon, 0, keyOf(i), uint64(i+1))
+		s.Arrive(noon, 0, keyOf(i), "", uint64(i+1))
 		s.Ended(noon, keyOf(i), keep.Result, result)
 		if i%1000 == 999 {
 			commit(b, s, w)
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -133,6 +133,7 @@
 	seq     uint64   // of the record that is waited for
 	first   uint64   // the req that is begun; 0 once it was withdrawn
 	waiting []uint64 // repeats of it
+	of      string   // its handler
 }
 
 type segment struct {
@@ -148,6 +149,7 @@
 	cfg      Config
 	entries  map[Key]*entry
 	order    []Key            // ended ones, the oldest first; some may be gone
+	of       map[Key]string   // handlers of those in doubt, where they are known
 	loose    map[Key]struct{} // while loading: intents of the life that is read, without an end so far
 	bytes    int
 	doubts   int
@@ -170,7 +172,7 @@
 // New returns an empty store. Load, Hole and Restarted bring it to what the disk has; then it takes reqs.
 func New(cfg Config) *Store {
 	cfg.Prints, cfg.Segments = max(1, cfg.Prints), max(2, cfg.Segments)
-	return &Store{cfg: cfg, entries: map[Key]*entry{}, loose: map[Key]struct{}{}}
+	return &Store{cfg: cfg, entries: map[Key]*entry{}, loose: map[Key]struct{}{}, of: map[Key]string{}}
 }
 
 // clock goes forward only: a clock that was set back must not make anything younger.
@@ -309,9 +311,9 @@
 	return Fresh
 }
 
-// Arrive takes a req that is to be begun. It waits for its intent to be durable, or for the end of another with its key, or
-// meets what that one left.
-func (s *Store) Arrive(now, made time.Duration, key Key, id uint64) Outcome {
+// Arrive takes a req of a handler that is to be begun. It waits for its intent to be durable, or for the end of another with its key, or
+// meets what that one left. The handler stands with the intent, for those who look at what is in doubt.
+func (s *Store) Arrive(now, made time.Duration, key Key, of string, id uint64) Outcome {
 	o := Outcome{ID: id, Verdict: s.Look(now, made, key)}
 	switch o.Verdict {
 	case Fresh:
@@ -319,9 +321,9 @@
 			o.Verdict = NoRoom
 			break
 		}
-		g, seq := s.record(Intent, key, nil)
+		g, seq := s.record(Intent, key, []byte(of))
 		g.live++
-		s.entries[key] = &entry{at: s.now, began: g, hand: &hand{seq: seq, first: id}}
+		s.entries[key] = &entry{at: s.now, began: g, hand: &hand{seq: seq, first: id, of: of}}
 		s.hands++
 		s.pending = append(s.pending, key)
 		o.Verdict = Wait
@@ -354,6 +356,9 @@
 		return nil
 	}
 	out := e.hand.tell(nil, InDoubt, nil)
+	if e.hand.of != "" {
+		s.of[key] = e.hand.of
+	}
 	e.state, e.hand, e.at = doubted, nil, s.now
 	s.hands--
 	s.doubts++
@@ -423,11 +428,7 @@
 func (s *Store) Ended(now time.Duration, key Key, kind Kind, result []byte) []Outcome {
 	s.clock(now)
 	e := s.entries[key]
-	if e != nil && e.state == doubted { // it turns up after all
-		e.state, e.hand = begun, &hand{first: late}
-		s.doubts--
-		s.hands++
-	}
+	s.Resume(key, late) // if it is in doubt, it turns up after all
 	if e == nil || e.hand == nil || e.state == ending {
 		return nil
 	}
@@ -564,6 +565,7 @@
 	s.bytes -= len(e.result)
 	if e.state == doubted {
 		s.doubts--
+		delete(s.of, key)
 	}
 	delete(s.entries, key)
 	e.began.filter(s.cfg.Prints).Add(key[:])
@@ -658,6 +660,9 @@
 		g.live++
 		s.doubts++
 		s.loose[w.Key] = struct{}{}
+		if len(w.Data) > 0 {
+			s.of[w.Key] = string(w.Data)
+		}
 		s.entries[w.Key] = &entry{state: doubted, at: w.At, began: g}
 	case Result, Long, Failed:
 		if e == nil || e.state != doubted {
@@ -665,6 +670,7 @@
 		}
 		s.doubts--
 		delete(s.loose, w.Key)
+		delete(s.of, w.Key)
 		e.state, e.kind, e.at, e.over = ended, w.Kind, w.At, g
 		g.live++
 		if w.Kind == Result {
@@ -676,6 +682,7 @@
 			s.doubts--
 			e.began.live--
 			delete(s.loose, w.Key)
+			delete(s.of, w.Key)
 			delete(s.entries, w.Key)
 		}
 	}
--- a/keep/keep_test.go
+++ b/keep/keep_test.go
@@ -130,7 +130,7 @@
 				}
 				id++
 				of[id] = k
-				o := s.Arrive(now, keys[k].made, keyOf(k), id)
+				o := s.Arrive(now, keys[k].made, keyOf(k), "", id)
 				if o.Verdict == InDoubt && lostRun {
 					break
 				}
@@ -222,7 +222,7 @@
 // run takes a req from its arrival to its durable end.
 func (x *script) run(now time.Duration, key uint64, result string) Verdict {
 	x.id++
-	if o := x.s.Arrive(now, 0, keyOf(key), x.id); o.Verdict != Wait {
+	if o := x.s.Arrive(now, 0, keyOf(key), "", x.id); o.Verdict != Wait {
 		return o.Verdict
 	}
 	x.sync()
@@ -369,7 +369,7 @@
 		{"both withdrawn", func(s *Store) []Outcome {
 			s.Withdraw(noon, keyOf(1), 2)
 			s.Withdraw(noon, keyOf(1), 1)
-			return append(s.Durable(9), s.Arrive(noon, 0, keyOf(1), 3))
+			return append(s.Durable(9), s.Arrive(noon, 0, keyOf(1), "", 3))
 		}, "[{3 3 }]"},
 		{"withdrawn while it runs", func(s *Store) []Outcome {
 			s.Durable(9)
@@ -381,13 +381,13 @@
 		{"and after its end", func(s *Store) []Outcome {
 			s.Durable(9)
 			s.Ended(noon, keyOf(1), Result, []byte("yes"))
-			return append(s.DiskFailed(), s.Arrive(noon, 0, keyOf(1), 3))
+			return append(s.DiskFailed(), s.Arrive(noon, 0, keyOf(1), "", 3))
 		}, "[{1 5 yes} {2 6 yes} {3 6 yes}]"},
 	} {
 		s := New(cfg)
 		s.Restarted(noon, true, 0)
-		s.Arrive(noon, 0, keyOf(1), 1)
-		s.Arrive(noon, 0, keyOf(1), 2)
+		s.Arrive(noon, 0, keyOf(1), "", 1)
+		s.Arrive(noon, 0, keyOf(1), "", 2)
 		got := "["
 		for i, o := range c.play(s) {
 			if i > 0 {
--- a/keep/told.go
+++ b/keep/told.go
@@ -92,6 +92,7 @@
 	e.over.live++
 	e.state, e.at = ended, s.now
 	s.doubts--
+	delete(s.of, t.Key)
 	s.bytes += len(e.result)
 	for s.bytes > s.cfg.Bytes && s.ageOldest() {
 	}
@@ -104,7 +105,8 @@
 	if e == nil || e.state != doubted {
 		return false
 	}
-	e.state, e.hand = begun, &hand{first: id}
+	e.state, e.hand = begun, &hand{first: id, of: s.of[key]}
+	delete(s.of, key)
 	s.doubts--
 	s.hands++
 	return true
@@ -151,3 +153,15 @@
 	}
 	return keys
 }
+
+// DoubtsOf are how many keys are in doubt, by handler; "" where that is not known.
+func (s *Store) DoubtsOf() map[string]int {
+	out := map[string]int{}
+	for _, of := range s.of {
+		out[of]++
+	}
+	if n := s.doubts - len(s.of); n > 0 {
+		out[""] = n
+	}
+	return out
+}
--- a/keep/told_test.go
+++ b/keep/told_test.go
@@ -25,7 +25,7 @@
 				n++
 				now += time.Second
 				key := keyOf(n)
-				if from.Arrive(now, 0, key, n).Verdict != Wait {
+				if from.Arrive(now, 0, key, handlerOf(n), n).Verdict != Wait {
 					continue
 				}
 				from.Durable(from.seq)
@@ -81,6 +81,16 @@
 		if !to.Whole() {
 			t.Fatal("not whole after it is said")
 		}
+		doubts := 0
+		for of, n := range from.DoubtsOf() {
+			if of != "even" && of != "odd" {
+				t.Fatal("a handler that is not known: ", of)
+			}
+			doubts += n
+		}
+		if doubts != from.Stats().InDoubt {
+			t.Fatal("in doubt by handler: ", from.DoubtsOf(), " of ", from.Stats().InDoubt)
+		}
 		d := disk{map[uint64][]Write{}, map[uint64]Prints{}}
 		for _, w := range to.Writes() {
 			d.put(w)
@@ -98,3 +108,5 @@
 		}
 	})
 }
+
+func handlerOf(n uint64) string { return [...]string{"even", "odd"}[n%2] }
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -863,7 +863,7 @@
 	default:
 		b.ids++
 		n.id = b.ids
-		o := b.store.Arrive(b.now, m.Made, m.Key, n.id)
+		o := b.store.Arrive(b.now, m.Made, m.Key, n.work.Handler, n.id)
 		if o.Verdict != keep.Wait {
 			answer(Full, Ballot{})
 			return
@@ -952,7 +952,7 @@
 		b.store.Resume(m.Key, n.id)
 	}
 	if !n.begun {
-		if o := b.store.Arrive(b.now, m.Made, m.Key, n.id); o.Verdict != keep.Wait {
+		if o := b.store.Arrive(b.now, m.Made, m.Key, n.work.Handler, n.id); o.Verdict != keep.Wait {
 			b.forget(m.Key, n)
 			answer(Full)
 			return
