--- a/cmd/frosthub/return_test.go
+++ b/cmd/frosthub/return_test.go
@@ -197,7 +197,7 @@
 	return n
 }
 
-var losses = flag.Int("losses", 3, "how often all boxes lose power at once")
+var losses = flag.Int("losses", 4, "how often all boxes lose power at once; CI runs it twice; 300 outside")
 
 // TestDiskLost has a box of five come back with an empty disk under load. The others tell it again what it had; once they have, a second one is
 // lost for good, and what only these two and one more had noted is still answered alike: by the one that is left and the one that was told.
