--- a/backend/refill.go
+++ b/backend/refill.go
@@ -86,7 +86,7 @@
 	return out
 }
 
-// told takes a page.
+// toldAgain takes a page.
 func (c *cluster) toldAgain(from string, life uint64, p *takeover.Page) {
 	b, r := c.b, c.refill.from
 	info := recovery.PageInfo[takeover.Cursor]{Life: p.Life, From: p.From, Next: p.Next, Keys: len(p.Told) + len(p.InHand),
--- a/cmd/frosthub/return_test.go
+++ b/cmd/frosthub/return_test.go
@@ -30,13 +30,10 @@
 	return path
 }
 
-// TestPowerLost has all boxes of seven lose power in one moment under load, with their processors, again and again. Each disk keeps what was
-// confirmed and some of the rest; one box comes back late, one with an older copy of its disk, now and then power is lost again within the
-// return, or one box stays away for good. The older disk is found out, no claim runs twice, and what was answered is answered alike.
-func TestPowerLost(t *testing.T) {
-	const boxes = 7
+// newPoweredFleet starts a cluster of such programs.
+func newPoweredFleet(t *testing.T, boxes int) *fleetRig {
+	t.Helper()
 	f := prepareFleet(t, boxes, 6*time.Millisecond)
-	defer f.end()
 	program := powerBinary(t)
 	all := make([]int, boxes)
 	for i := range all {
@@ -48,6 +45,16 @@
 		f.joins(i, all, nil)
 	}
 	f.start(all...)
+	return f
+}
+
+// TestPowerLost has all boxes of seven lose power in one moment under load, with their processors, again and again. Each disk keeps what was
+// confirmed and some of the rest; one box comes back late, one with an older copy of its disk, now and then power is lost again within the
+// return, or one box stays away for good. The older disk is found out, no claim runs twice, and what was answered is answered alike.
+func TestPowerLost(t *testing.T) {
+	const boxes = 7
+	f := newPoweredFleet(t, boxes)
+	defer f.end()
 	r := rand.New(rand.NewPCG(4, 4))
 	load := &stand.Claims{Handler: "file-claim", TellMade: true, Callers: 40, Repeats: 2, Late: 0.5, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 6}
 	stop := f.asks(load, 6)
@@ -112,10 +119,7 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	stop()
-	sums, wrong := load.Judge(f.effects())
-	for _, w := range wrong {
-		t.Error(w)
-	}
+	sums := f.judge(load)
 	t.Logf("%+v; %d losses, %d disks were older", sums, *losses, older)
 	if sums.Served < 50*(*losses) || older == 0 {
 		t.Error("too little was asked to tell anything")
@@ -143,10 +147,7 @@
 	again := &stand.Claims{Handler: "file-claim", Callers: 10, Keys: 20, Repeats: 1, Pause: 5 * time.Millisecond, Patient: 2 * time.Second, CostMS: 5}
 	again.Run(t.Context(), 3, func(n uint64) stand.Asker { return f.fc[n>>40%3] }) // the same keys
 	first, _ := load.Judge(f.effects())
-	sums, wrong := again.Judge(f.effects())
-	for _, w := range wrong {
-		t.Error(w)
-	}
+	sums := f.judge(again)
 	t.Logf("%+v; %+v", first, sums)
 	if sums.Served < sums.Keys*9/10 {
 		t.Error("the others do not answer what they have noted")
@@ -325,14 +326,7 @@
 		t.Error("told all by one of two: ", said)
 	}
 	two := ask(1, 20, 0, 1) // the same keys: what n2 has noted is answered by both
-	judge := func(l *stand.Claims) stand.ClaimSums {
-		sums, wrong := l.Judge(f.effects())
-		for _, w := range wrong {
-			t.Error(w)
-		}
-		return sums
-	}
-	t.Logf("all %+v; two of three back %+v", judge(first), judge(two))
+	t.Logf("all %+v; two of three back %+v", f.judge(first), f.judge(two))
 	say := func(i int, args ...string) string {
 		out, _ := exec.Command(binary, append(append([]string{"recovery"}, args...), "--admin", admin[i])...).CombinedOutput()
 		return string(out)
@@ -350,12 +344,12 @@
 	if out := say(0); !strings.Contains(out, "serving") || !strings.Contains(out, "n2") {
 		t.Error(out)
 	}
-	if sums := judge(ask(2, 20, 0, 1)); sums.Served != sums.Keys { // new ones
+	if sums := f.judge(ask(2, 20, 0, 1)); sums.Served != sums.Keys { // new ones
 		t.Errorf("%+v", sums)
 	}
 	f.start(2) // after all
 	f.logs(0, 0, "back=n3", 5*time.Second)
-	if sums := judge(ask(2, 20, 0, 1, 2)); sums.Served != sums.Keys {
+	if sums := f.judge(ask(2, 20, 0, 1, 2)); sums.Served != sums.Keys {
 		t.Errorf("%+v", sums)
 	}
 	for key, n := range f.effects() {
@@ -369,19 +363,8 @@
 // slower, while ten times the callers ask; then all lose power again, with their disks well. No claim runs twice, and each is answered alike.
 func TestBackIll(t *testing.T) {
 	const boxes = 5
-	f := prepareFleet(t, boxes, 5*time.Millisecond)
+	f := newPoweredFleet(t, boxes)
 	defer f.end()
-	program := powerBinary(t)
-	all := make([]int, boxes)
-	for i := range all {
-		all[i] = i
-	}
-	for i, b := range f.boxes {
-		b.Binary = program
-		f.alone[i] += "keep made-field X-First-Made\n"
-		f.joins(i, all, nil)
-	}
-	f.start(all...)
 	load := &stand.Claims{Handler: "file-claim", TellMade: true, Callers: 8, Repeats: 2, Late: 0.5, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 5}
 	flood := &stand.Claims{Handler: "file-claim", TellMade: true, Callers: 72, Repeats: 1, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 5}
 	stop := f.asks(load, 21)
@@ -422,10 +405,7 @@
 	time.Sleep(time.Second)
 	stop()
 	for _, l := range []*stand.Claims{load, flood} {
-		sums, wrong := l.Judge(f.effects())
-		for _, w := range wrong {
-			t.Error(w)
-		}
+		sums := f.judge(l)
 		t.Logf("%+v", sums)
 		if sums.Served < 50 {
 			t.Error("too little was served to tell anything")
@@ -476,9 +456,6 @@
 	}
 	f.logs(0, 0, `by="all others"`, 20*time.Second)
 	stop()
-	sums, wrong := load.Judge(f.effects())
-	for _, w := range wrong {
-		t.Error(w)
-	}
+	sums := f.judge(load)
 	t.Logf("%+v", sums)
 }
--- a/cmd/frosthub/takeover_test.go
+++ b/cmd/frosthub/takeover_test.go
@@ -150,6 +150,16 @@
 	return all
 }
 
+// judge holds what the callers of a load know against what ran, and gives the sums.
+func (f *fleetRig) judge(load *stand.Claims) stand.ClaimSums {
+	f.t.Helper()
+	sums, wrong := load.Judge(f.effects())
+	for _, w := range wrong {
+		f.t.Error(w)
+	}
+	return sums
+}
+
 // fault does one thing that fails, and mends it.
 func (f *fleetRig) fault(r *rand.Rand, cluster bool) string {
 	i := r.IntN(5)
@@ -318,10 +328,7 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	stop()
-	sums, wrong := load.Judge(f.effects())
-	for _, w := range wrong {
-		t.Error(w)
-	}
+	sums := f.judge(load)
 	t.Logf("%+v; handed over %d", sums, handed)
 	if sums.Served < 200 || handed == 0 {
 		t.Error("too little was asked, or nothing was handed over")
@@ -394,10 +401,7 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	stop()
-	sums, wrong := load.Judge(f.effects())
-	for _, w := range wrong {
-		t.Error(w)
-	}
+	sums := f.judge(load)
 	t.Logf("%+v", sums)
 	if sums.Served < 500 {
 		t.Error("too little was asked to tell anything")
@@ -462,10 +466,7 @@
 	f.start(0, 3)
 	time.Sleep(500 * time.Millisecond)
 	stop()
-	sums, wrong := load.Judge(f.effects())
-	for _, w := range wrong {
-		t.Error(w)
-	}
+	sums := f.judge(load)
 	t.Logf("%+v", sums)
 	if sums.Served < 300 || sums.Doubted > 30 {
 		t.Error("too little was served, or more is in doubt than was in hand")
--- a/lab/outage/main.go
+++ b/lab/outage/main.go
@@ -28,7 +28,7 @@
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%d boxes lose power at 5 s and come back from 8 s on, under %.0f times the load", *boxes, *times)
 	p.X.Label.Text, p.Y.Label.Text = "seconds", "worth served, of before the loss"
-	p.Legend.Top = true
+	p.Legend.YOffs = vg.Centimeter // over the line of those that serve nothing
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "way\tuntil 0.9 of before, by handler\tworth in the first 10 s\tmessages a box\ttries a req")
 	var fleets [noLimit + 1]*fleet
--- a/takeover/sim_test.go
+++ b/takeover/sim_test.go
@@ -648,17 +648,24 @@
 	return w
 }
 
+// sound ends a test where a rule was broken, with all that led there.
+func (w *world) sound(t *testing.T) {
+	t.Helper()
+	if w.bad == "" {
+		return
+	}
+	for _, line := range w.trace {
+		t.Log(line)
+	}
+	t.Fatalf("seed %d: %s", w.seed, w.bad)
+}
+
 // TestClusters: whatever fails, no key runs twice, and who is answered is answered alike.
 func TestClusters(t *testing.T) {
 	verdicts, runs, asked, replayed, found := map[keep.Verdict]int{}, 0, 0, 0, int64(0)
 	for seed := range uint64(*schedules) {
 		w := simulate(t, seed, 1200*time.Millisecond, usual)
-		if w.bad != "" {
-			for _, line := range w.trace {
-				t.Log(line)
-			}
-			t.Fatalf("seed %d: %s", seed, w.bad)
-		}
+		w.sound(t)
 		runs += w.runs
 		replayed += w.replayed
 		found += w.found
@@ -690,10 +697,8 @@
 		w := simulate(t, calm+seed, span, usual)
 		for id, at := range w.askedAt {
 			if at < noon+span-500*time.Millisecond && !w.answered[id] {
-				for _, line := range w.trace {
-					t.Log(line)
-				}
-				t.Fatalf("seed %d: req %d, asked at %s, has no answer", seed, id, at-noon)
+				w.broken("req %d, asked at %s, has no answer", id, at-noon)
+				w.sound(t)
 			}
 		}
 	}
@@ -704,12 +709,7 @@
 	moved, runs := 0, 0
 	for seed := range uint64(*schedules / 8) {
 		w := simulate(t, seed, 2*time.Second, moving)
-		if w.bad != "" {
-			for _, line := range w.trace {
-				t.Log(line)
-			}
-			t.Fatalf("seed %d: %s", seed, w.bad)
-		}
+		w.sound(t)
 		moved += w.moved
 		runs += w.runs
 	}
@@ -725,12 +725,7 @@
 	lost, refills, runs := 0, 0, 0
 	for seed := range uint64(*schedules / 4) {
 		w := simulate(t, seed, 2*time.Second, losing)
-		if w.bad != "" {
-			for _, line := range w.trace {
-				t.Log(line)
-			}
-			t.Fatalf("seed %d: %s", seed, w.bad)
-		}
+		w.sound(t)
 		lost += w.lost
 		refills += w.refills
 		runs += w.runs
