A life that is numbered anew leaves nothing of the one before in hand

Need: where a box hears late that its disk is older, its life is numbered above all remembered and its part of the cluster begins anew, over a store that may still have keys in hand. Read: ids of notes began at 1 again, so the end of an old one could have acknowledged a new one; and the old ones stayed in hand for good. Ids of notes begin with the life; what was in hand is in doubt then, as after a restart, but for ends on their way to the disk. Checked by a test of the store; the simulated clusters as before.

--- a/backend/cluster.go
+++ b/backend/cluster.go
@@ -122,6 +122,9 @@
 	b := c.b
 	c.life = c.store.Stats().Life
 	r := c.lists.roster()
+	if c.box != nil { // its life was numbered anew
+		c.store.Forsake(b.keeper.now())
+	}
 	c.pending = true // until it goes by those of its file
 	c.list = members.New(members.Config{Name: b.cfg.Name, Life: c.life, Every: probeEvery, Within: probeAnd}, b.cfg.Seed, b.now)
 	c.connect()
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -351,10 +351,13 @@
 // Doubt says that nobody will tell how the run of a key ended: it is as after a restart. Its end may still be told.
 func (s *Store) Doubt(now time.Duration, key Key) []Outcome {
 	s.clock(now)
-	e := s.entries[key]
-	if e == nil || e.hand == nil || e.state != begun {
-		return nil
+	if e := s.entries[key]; e != nil && e.hand != nil && e.state == begun {
+		return s.doubt(key, e)
 	}
+	return nil
+}
+
+func (s *Store) doubt(key Key, e *entry) []Outcome {
 	out := e.hand.tell(nil, InDoubt, nil)
 	if e.hand.of != "" {
 		s.of[key] = e.hand.of
@@ -366,6 +369,21 @@
 	return out
 }
 
+// Forsake says that whoever had keys in hand is no more: they are as after a restart, but for ends that are on their way to the disk.
+func (s *Store) Forsake(now time.Duration) {
+	s.clock(now)
+	var keys []Key
+	for key, e := range s.entries {
+		if e.hand != nil && e.state != ending {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(x, y Key) int { return slices.Compare(x[:], y[:]) })
+	for _, key := range keys {
+		s.doubt(key, s.entries[key])
+	}
+}
+
 func (e *entry) verdict() Verdict {
 	switch {
 	case e.state == doubted:
--- a/keep/keep_test.go
+++ b/keep/keep_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"frosthub/internal/golden"
@@ -400,3 +401,28 @@
 		}
 	}
 }
+
+// TestForsaken: what was in hand is in doubt once nobody has it any more; an end on its way to the disk is not, and one that turns up counts.
+func TestForsaken(t *testing.T) {
+	s := New(Config{Entries: 10, Bytes: 1000, ResultMost: 100, Lifetime: time.Hour, Horizon: 24 * time.Hour, Segments: 5, Prints: 10, SegmentBytes: 1000})
+	s.Restarted(noon, false, 0)
+	for n := range uint64(3) {
+		s.Arrive(noon, 0, keyOf(n), "status", n+1)
+	}
+	s.Durable(s.seq)
+	s.Ended(noon, keyOf(1), Result, []byte("filed"))
+	s.Arrive(noon, 0, keyOf(3), "status", 4)
+	s.Forsake(noon)
+	if got := s.DoubtsOf(); got["status"] != 3 || s.hands != 1 {
+		t.Error(got, s.hands)
+	}
+	s.Ended(noon, keyOf(2), Result, []byte("late"))
+	s.Durable(s.seq)
+	var got []Verdict
+	for n := range uint64(4) {
+		got = append(got, s.Meet(noon, 0, keyOf(n)).Verdict)
+	}
+	if diff := cmp.Diff([]Verdict{InDoubt, Repeat, Repeat, InDoubt}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/takeover/refill.go
+++ b/takeover/refill.go
@@ -232,8 +232,7 @@
 		return true // its end is known here
 	}
 	n := b.newNote(h.Key)
-	b.ids++
-	n.id, n.begun, n.durable, n.filled = b.ids, true, true, true
+	n.id, n.begun, n.durable, n.filled = b.noteID(), true, true, true
 	n.ballot, n.made, n.due, n.run, n.notice = h.Ballot, h.Made, b.now+h.Left, h.Run, h.Notice
 	b.store.Resume(h.Key, n.id)
 	b.byNote[n.id] = h.Key
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -219,6 +219,7 @@
 	groups  map[keep.Key][][]string
 	top     uint64 // the highest ballot seen
 	ids     uint64
+	noteIDs uint64 // of intents in the store, which may still have some of an earlier Box in hand
 	sends   []Send
 	out     []Outcome
 	chance  uint64
@@ -303,7 +304,8 @@
 	cfg.Size, cfg.Patient, cfg.Again = cmp.Or(cfg.Size, sizeUsual), cmp.Or(cfg.Patient, patientUsual), cmp.Or(cfg.Again, againUsual)
 	cfg.Notes, cfg.InHand, cfg.Bytes = cmp.Or(cfg.Notes, notesUsual), cmp.Or(cfg.InHand, inHandUsual), cmp.Or(cfg.Bytes, bytesUsual)
 	return &Box{cfg: cfg, store: store, peers: peers, now: now, notes: map[keep.Key]*note{}, byNote: map[uint64]keep.Key{}, byRun: map[run]*note{},
-		claims: map[keep.Key]*claim{}, groups: map[keep.Key][][]string{}, fences: map[string]fence{}, chance: seed | 1}
+		claims: map[keep.Key]*claim{}, groups: map[keep.Key][][]string{}, fences: map[string]fence{}, noteIDs: cfg.Life << 32,
+		chance: seed | 1}
 }
 
 // Take hands over what is to be sent, and what becomes of reqs, since the last call.
@@ -471,6 +473,11 @@
 	return n
 }
 
+func (b *Box) noteID() uint64 {
+	b.noteIDs++
+	return b.noteIDs
+}
+
 // tellKnown lets those that ask join.
 func (b *Box) tellKnown(c *claim) {
 	for _, id := range c.untold {
@@ -861,8 +868,7 @@
 		answer(Granted, Ballot{})
 	case n.begun: // it is being written
 	default:
-		b.ids++
-		n.id = b.ids
+		n.id = b.noteID()
 		o := b.store.Arrive(b.now, m.Made, m.Key, n.work.Handler, n.id)
 		if o.Verdict != keep.Wait {
 			answer(Full, Ballot{})
@@ -947,8 +953,7 @@
 	}
 	n.ballot = m.Ballot
 	if !n.begun || n.id == 0 {
-		b.ids++
-		n.id = b.ids
+		n.id = b.noteID()
 		b.store.Resume(m.Key, n.id)
 	}
 	if !n.begun {
