A start does not wait for the disk to count its tries

Cause: Try put its count down by a file with three confirmations (Put: file, name, folder), before anything was read. Ruled out: the reading itself (same code, and twenty times the keys cost no more each). The count is written and not waited for: it has to outlive the process, not the power; one that is taken back is one more try. Starts that die are still put aside at the fourth.

--- a/internal/keeplog/tries.go
+++ b/internal/keeplog/tries.go
@@ -1,6 +1,7 @@
 package keeplog
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -27,7 +28,18 @@
 		}
 		aside, tries = true, 0
 	}
-	return aside, Put(d, triesName, fmt.Appendln(nil, tries+1))
+	return aside, count(d, tries+1)
+}
+
+// count puts the number of tries down without waiting for the disk: it outlives the process, and one that a loss of power takes back is
+// one more try.
+func count(d Disk, tries int) error {
+	f, err := d.Append(triesName, 0)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(fmt.Appendln(nil, tries))
+	return errors.Join(err, f.Close())
 }
 
 // Tried notes that a reading has come to its end, well or with a word on what is wrong.
