Power lost three times in a row while stores age, and half of the boxes never back

Need: cases of the return that no test of processes caused: a loss while segments give way to prints, again within the return, half of the fleet gone. The test runs two rows.

--- a/cmd/frosthub/return_test.go
+++ b/cmd/frosthub/return_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"flag"
 	"io/fs"
@@ -31,7 +32,7 @@
 }
 
 // newPoweredFleet starts a cluster of such programs.
-func newPoweredFleet(t *testing.T, boxes int) *fleetRig {
+func newPoweredFleet(t *testing.T, boxes int, lines string) *fleetRig {
 	t.Helper()
 	f := prepareFleet(t, boxes, 6*time.Millisecond)
 	program := powerBinary(t)
@@ -41,7 +42,7 @@
 	}
 	for i, b := range f.boxes {
 		b.Binary = program
-		f.alone[i] += "keep made-field X-First-Made\n" // else who lost its disk can tell nothing of what comes for a horizon
+		f.alone[i] += lines + "keep made-field X-First-Made\n" // else who lost its disk can tell nothing of what comes for a horizon
 		f.joins(i, all, nil)
 	}
 	f.start(all...)
@@ -53,23 +54,14 @@
 // return, or one box stays away for good. The older disk is found out, no claim runs twice, and what was answered is answered alike.
 func TestPowerLost(t *testing.T) {
 	const boxes = 7
-	f := newPoweredFleet(t, boxes)
+	f := newPoweredFleet(t, boxes, "")
 	defer f.end()
 	r := rand.New(rand.NewPCG(4, 4))
 	load := &stand.Claims{Handler: "file-claim", TellMade: true, Callers: 40, Repeats: 2, Late: 0.5, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 6}
 	stop := f.asks(load, 6)
 	lose := func() {
-		for _, b := range f.boxes {
-			if err := b.Kill(); err != nil {
-				t.Fatal(err)
-			}
-		}
-		for i, b := range f.boxes {
-			f.ps[i].Reset()
-			if err := stand.CutPower(filepath.Join(b.Dir, "keep"), r); err != nil {
-				t.Fatal(err)
-			}
-		}
+		f.dark()
+		f.cutDisks(r)
 	}
 	older := 0
 	for round := range *losses {
@@ -272,6 +264,16 @@
 	}
 }
 
+// cutDisks leaves of the disks of all boxes what a loss of power could have left.
+func (f *fleetRig) cutDisks(r *rand.Rand) {
+	f.t.Helper()
+	for _, b := range f.boxes {
+		if err := stand.CutPower(filepath.Join(b.Dir, "keep"), r); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+}
+
 // empty gives a box a new store under its old name.
 func (f *fleetRig) empty(i int) {
 	f.t.Helper()
@@ -359,11 +361,67 @@
 	}
 }
 
+// TestBackHalf: seven boxes whose results age within seconds, so that segments give way to prints all the time, lose power twice, each time
+// twice more within the return; then three of them never come back. No claim runs twice, and the four that are left serve.
+func TestBackHalf(t *testing.T) {
+	const boxes = 7
+	f := newPoweredFleet(t, boxes, "keep lifetime 4s\nkeep horizon 16s\n")
+	defer f.end()
+	r := rand.New(rand.NewPCG(7, 3))
+	load := &stand.Claims{Handler: "file-claim", TellMade: true, Callers: 30, Repeats: 1, Pause: 10 * time.Millisecond, Patient: time.Second, CostMS: 6}
+	stop := f.asks(load, 31)
+	for range 2 {
+		time.Sleep(2500 * time.Millisecond)
+		for range 2 { // power comes back for a moment
+			f.dark()
+			f.cutDisks(r)
+			for _, i := range r.Perm(boxes) {
+				if err := f.boxes[i].Launch(); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Duration(r.IntN(30)) * time.Millisecond)
+			}
+		}
+		f.dark()
+		f.cutDisks(r)
+		for _, i := range r.Perm(boxes) {
+			if err := f.boxes[i].Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	time.Sleep(time.Second)
+	stop()
+	retired := 0
+	for _, b := range f.boxes {
+		all, err := filepath.Glob(filepath.Join(b.Dir, "keep", "*.prints"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		retired += len(all)
+	}
+	for _, i := range []int{4, 5, 6} {
+		if err := f.boxes[i].Kill(); err != nil {
+			t.Fatal(err)
+		}
+		f.ps[i].Reset()
+	}
+	half := &stand.Claims{Handler: "file-claim", TellMade: true, Callers: 30, Pause: 20 * time.Millisecond, Patient: time.Second, CostMS: 6}
+	ctx, done := context.WithTimeout(t.Context(), 2*time.Second)
+	defer done()
+	half.Run(ctx, 32, func(n uint64) stand.Asker { return f.fc[n>>40%4] })
+	whole, rest := f.judge(load), f.judge(half)
+	t.Logf("%+v; half of them %+v; %d segments are prints", whole, rest, retired)
+	if whole.Served < 300 || rest.Served < 10 || retired == 0 {
+		t.Error("too little was served, or nothing has aged")
+	}
+}
+
 // TestBackIll: five boxes come back from a loss of power with clocks an hour behind and an hour ahead, a disk that is full and one a hundred times
 // slower, while ten times the callers ask; then all lose power again, with their disks well. No claim runs twice, and each is answered alike.
 func TestBackIll(t *testing.T) {
 	const boxes = 5
-	f := newPoweredFleet(t, boxes)
+	f := newPoweredFleet(t, boxes, "")
 	defer f.end()
 	load := &stand.Claims{Handler: "file-claim", TellMade: true, Callers: 8, Repeats: 2, Late: 0.5, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 5}
 	flood := &stand.Claims{Handler: "file-claim", TellMade: true, Callers: 72, Repeats: 1, Pause: 10 * time.Millisecond, Patient: 2 * time.Second, CostMS: 5}
@@ -373,13 +431,10 @@
 	for round := range 4 {
 		time.Sleep(500 * time.Millisecond)
 		f.dark()
+		f.cutDisks(r)
 		for i, b := range f.boxes {
-			store := filepath.Join(b.Dir, "keep")
-			if err := stand.CutPower(store, r); err != nil {
-				t.Fatal(err)
-			}
 			b.Clock = 0
-			fault := filepath.Join(store, ".fault")
+			fault := filepath.Join(b.Dir, "keep", ".fault")
 			_ = os.Remove(fault) // none at first
 			if round%2 == 1 {
 				continue
