A box whose others are all forgotten needs nobody to tell it

Need: read over: after an operator had said of all others that they never come back, a further start stayed in part though nobody was left to ask. The end of the telling is looked for where it begins, too; keys in doubt are taken up once.

--- a/backend/refill.go
+++ b/backend/refill.go
@@ -19,12 +19,11 @@
 
 // lacks begins it where the store can't answer for all that it has ever had, and takes up the keys in doubt.
 func (c *cluster) lacks() {
-	c.refill = refilling{doubts: recovery.NewSettling(nil)}
 	var keys [][16]byte
 	for _, key := range c.store.InDoubt(settleKeys) {
 		keys = append(keys, key)
 	}
-	c.refill.doubts = recovery.NewSettling(keys)
+	c.refill = refilling{doubts: recovery.NewSettling(keys)}
 	if c.store.Whole() {
 		return
 	}
@@ -36,6 +35,7 @@
 	}
 	c.refill.from = r
 	c.store.Proves(func(key keep.Key) bool { return r.Covers(c.box.Others(key)) })
+	c.toldAll() // where an operator has said of all others that they never come back
 }
 
 // others are all boxes of the lists but this one.
