Read over: one chance for four state machines; state that could be derived goes

Mended too: a claim's flag that nobody waits for it, which its reqs tell; a branch for such claims at a stage that they never stand at; a method and a function that no program called; the print of the lists made anew for each page; two ways to count a result in the store; two to note an end that is news.

--- a/keep/keep.go
+++ b/keep/keep.go
@@ -301,7 +301,7 @@
 	}
 	oldest := s.now - s.cfg.Horizon
 	switch {
-	case s.printed(key), made > 0 && made < oldest:
+	case s.Printed(key), made > 0 && made < oldest:
 		return TooLate
 	case s.blind > 0 && max(made, oldest) <= s.blind && (s.proves == nil || !s.proves(key)):
 		return Blind
@@ -396,7 +396,8 @@
 	return Broken
 }
 
-func (s *Store) printed(key Key) bool {
+// Printed tells whether a key is among the prints of those that have aged, here or where it was told from; now and then one is that is not.
+func (s *Store) Printed(key Key) bool {
 	for _, g := range s.segments {
 		if g.Filter != nil && g.Filter.Test(key[:]) {
 			return true
@@ -509,10 +510,15 @@
 	return out
 }
 
-// keep puts an entry that has ended among the others, and ages the oldest while they are too many.
+// keep puts an entry that has ended among the others.
 func (s *Store) keep(key Key, e *entry) {
-	s.bytes += len(e.result)
 	s.order = append(s.order, key)
+	s.hold(e)
+}
+
+// hold counts the result of one that stands among the others, and ages the oldest while they are too many.
+func (s *Store) hold(e *entry) {
+	s.bytes += len(e.result)
 	for s.bytes > s.cfg.Bytes && s.ageOldest() {
 	}
 }
--- a/keep/told.go
+++ b/keep/told.go
@@ -93,9 +93,7 @@
 	e.state, e.at = ended, s.now
 	s.doubts--
 	delete(s.of, t.Key)
-	s.bytes += len(e.result)
-	for s.bytes > s.cfg.Bytes && s.ageOldest() {
-	}
+	s.hold(e)
 	return true
 }
 
@@ -125,9 +123,6 @@
 // Whole tells whether the store can answer for all that it has ever had.
 func (s *Store) Whole() bool { return (s.blind == 0 || s.refilled) && !s.failed }
 
-// Printed tells whether a key is among the prints of those that have aged, here or where it was told from; now and then one is that is not.
-func (s *Store) Printed(key Key) bool { return s.printed(key) }
-
 // Tells tells whether what the store has of a key is all that it ever had.
 func (s *Store) Tells(key Key) bool { return s.Whole() || s.proves != nil && s.proves(key) }
 
--- a/members/members.go
+++ b/members/members.go
@@ -8,6 +8,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"frosthub/internal/chance"
 )
 
 // State is what is believed of a box.
@@ -118,7 +120,7 @@
 	number    uint64
 	unwell    int // Lifeguard: how slow this box itself seems
 	news      news
-	chance    uint64
+	chance    chance.Chance
 	sends     []Send
 	changes   []Change
 }
@@ -127,7 +129,7 @@
 func New(cfg Config, seed uint64, now time.Duration) *List {
 	cfg.Every, cfg.Within = cmp.Or(cfg.Every, everyUsual), cmp.Or(cfg.Within, withinUsual)
 	cfg.Helpers, cfg.Patient = cmp.Or(cfg.Helpers, helpersUsual), cmp.Or(cfg.Patient, patientUsual)
-	l := &List{cfg: cfg, self: Update{cfg.Name, cfg.Life, 0, Alive}, peers: map[string]*peer{}, chance: seed | 1,
+	l := &List{cfg: cfg, self: Update{cfg.Name, cfg.Life, 0, Alive}, peers: map[string]*peer{}, chance: chance.New(seed),
 		probeAt: now}
 	for _, name := range cfg.Others {
 		if name != cfg.Name {
@@ -159,14 +161,6 @@
 	l.news.fresh(l.cfg.Name)
 }
 
-// draw is a number under n, by xorshift from the seed.
-func (l *List) draw(n int) int {
-	l.chance ^= l.chance << 13
-	l.chance ^= l.chance >> 7
-	l.chance ^= l.chance << 17
-	return int(l.chance % uint64(n))
-}
-
 // Of is what is believed of a box.
 func (l *List) Of(name string) Update {
 	if name == l.cfg.Name {
@@ -295,7 +289,7 @@
 func (l *List) probe(now time.Duration) {
 	if l.next == 0 {
 		for i := len(l.order) - 1; i > 0; i-- {
-			k := l.draw(i + 1)
+			k := l.chance.Below(i + 1)
 			l.order[i], l.order[k] = l.order[k], l.order[i]
 		}
 	}
@@ -316,7 +310,7 @@
 		}
 	}
 	for i := range min(l.cfg.Helpers, len(all)) {
-		k := i + l.draw(len(all)-i)
+		k := i + l.chance.Below(len(all)-i)
 		all[i], all[k] = all[k], all[i]
 	}
 	return all[:min(l.cfg.Helpers, len(all))]
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -11,6 +11,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"frosthub/internal/chance"
 )
 
 // Phase is how far a box is on its way back.
@@ -134,14 +136,14 @@
 	every   time.Duration
 	answers map[string]Answer
 	actions []Action
-	chance  uint64
+	chance  chance.Chance
 	why     string
 }
 
 // New returns a box that is cold.
 func New(cfg Config, seed uint64) *Box {
 	cfg.Patient, cfg.Alone = cmp.Or(cfg.Patient, patientUsual), cmp.Or(cfg.Alone, aloneUsual)
-	return &Box{cfg: cfg, answers: map[string]Answer{}, chance: seed | 1}
+	return &Box{cfg: cfg, answers: map[string]Answer{}, chance: chance.New(seed)}
 }
 
 // Take hands over what is to be done since the last call.
@@ -289,9 +291,6 @@
 	if ask := b.Missing(); len(ask) > 0 {
 		b.actions = append(b.actions, Action{Ask: ask})
 	}
-	b.chance ^= b.chance << 13
-	b.chance ^= b.chance >> 7
-	b.chance ^= b.chance << 17
-	b.askAt = now + b.every/2 + time.Duration(b.chance%uint64(b.every))
+	b.askAt = now + b.every/2 + time.Duration(b.chance.Next()%uint64(b.every))
 	b.every = min(2*b.every, askMost)
 }
--- a/recovery/refill.go
+++ b/recovery/refill.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"frosthub/internal/chance"
 )
 
 // Refill is how a box that has lost something of its disk is told it again by the others, while it serves. It decides whom to ask for the next
@@ -14,7 +16,7 @@
 	sources map[string]*source[P]
 	names   []string        // in the order in which they are asked
 	without map[string]bool // boxes that never come back, by an operator's word
-	chance  uint64
+	chance  chance.Chance
 	done    bool
 }
 
@@ -51,7 +53,7 @@
 // NewRefill begins one.
 func NewRefill[P comparable](cfg RefillConfig, seed uint64) *Refill[P] {
 	cfg.Every, cfg.AtOnce = cmp.Or(cfg.Every, pageEvery), cmp.Or(cfg.AtOnce, atOnceMost)
-	r := &Refill[P]{cfg: cfg, without: map[string]bool{}, chance: seed | 1}
+	r := &Refill[P]{cfg: cfg, without: map[string]bool{}, chance: chance.New(seed)}
 	r.Members(cfg.Others)
 	return r
 }
@@ -67,7 +69,7 @@
 		r.sources[name] = &source[P]{wait: pageWait}
 	}
 	for i := len(r.names) - 1; i > 0; i-- { // boxes that come back together ask different ones first
-		k := int(r.draw() % uint64(i+1))
+		k := r.chance.Below(i + 1)
 		r.names[i], r.names[k] = r.names[k], r.names[i]
 	}
 }
@@ -85,13 +87,6 @@
 	r.done = !slices.ContainsFunc(r.names, func(name string) bool { return !r.sources[name].done })
 }
 
-func (r *Refill[P]) draw() uint64 {
-	r.chance ^= r.chance << 13
-	r.chance ^= r.chance >> 7
-	r.chance ^= r.chance << 17
-	return r.chance
-}
-
 // Question asks a box for a page.
 type Question[P comparable] struct {
 	To   string
@@ -119,7 +114,7 @@
 			busy++
 		}
 		s.asked, s.part = true, false
-		s.askAt = now + s.wait/2 + time.Duration(r.draw()%uint64(s.wait))
+		s.askAt = now + s.wait/2 + time.Duration(r.chance.Next()%uint64(s.wait))
 		out = append(out, Question[P]{name, s.next})
 	}
 	return out
@@ -184,11 +179,6 @@
 	})
 }
 
-// Any tells whether one of these has, which alone says nothing: a test of the rules has it be enough.
-func (r *Refill[P]) Any(others []string) bool {
-	return slices.ContainsFunc(others, func(name string) bool { s := r.sources[name]; return s != nil && s.done })
-}
-
 // Done tells whether all have.
 func (r *Refill[P]) Done() bool { return r.done }
 
@@ -253,14 +243,6 @@
 // Left is how many are still asked about.
 func (s *Settling) Left() int { return len(s.tries) }
 
-// Next is when Tick wants to be called; far off where nothing is left.
-func (s *Settling) Next() time.Duration {
-	if len(s.tries) == 0 {
-		return 1<<63 - 1
-	}
-	return s.next
-}
-
 // Tick gives keys to be asked about; doubted tells which are in doubt still.
 func (s *Settling) Tick(now time.Duration, doubted func([16]byte) bool) (ask [][16]byte) {
 	if now < s.next {
--- a/takeover/refill.go
+++ b/takeover/refill.go
@@ -75,9 +75,9 @@
 	pageBytes  = 128 << 10 // of results in one
 )
 
-// goes is a print of the lists that this box goes by.
-func (b *Box) goes() (sum uint64) {
-	for _, d := range (Roster{Members: b.cfg.Members, Before: b.cfg.Before}).Digests() {
+// goes is a print of the lists that a box goes by.
+func goes(cfg Config) (sum uint64) {
+	for _, d := range (Roster{Members: cfg.Members, Before: cfg.Before}).Digests() {
 		sum = sum*31 + d
 	}
 	return sum
@@ -87,7 +87,7 @@
 // is to be recorded: until Fenced says that it is, no page is the last.
 func (b *Box) Page(now time.Duration, to string, t Telling) Page {
 	b.now = max(b.now, now)
-	p := Page{Life: t.Life, Goes: b.goes(), From: t.From, Next: t.From, Whole: b.whole()}
+	p := Page{Life: t.Life, Goes: b.goes, From: t.From, Next: t.From, Whole: b.whole()}
 	shares := func(key keep.Key) bool { return slices.Contains(b.all(key), to) }
 	switch t.From.Step {
 	case StepHand:
@@ -181,7 +181,7 @@
 func (b *Box) whole() bool { return off == ruleWhole || b.store.Whole() }
 
 // Goes tells whether a page comes from a box that goes by the same lists.
-func (b *Box) Goes(p *Page) bool { return p.Goes == b.goes() }
+func (b *Box) Goes(p *Page) bool { return p.Goes == b.goes }
 
 // Fill takes what another box tells again, and tells whether all of it was taken: else the page is asked for once more.
 func (b *Box) Fill(now time.Duration, p *Page) bool {
@@ -254,7 +254,7 @@
 	for _, key := range keys {
 		if b.claims[key] == nil && b.notes[key] == nil {
 			c := b.newClaim(key, 0)
-			c.due, c.settles = b.now+settleFor, true
+			c.due = b.now + settleFor
 			b.look(c)
 		}
 	}
--- a/takeover/sim_test.go
+++ b/takeover/sim_test.go
@@ -183,7 +183,7 @@
 	x.refill = recovery.NewRefill[Cursor](c, x.w.r.Uint64())
 	x.store.Proves(func(key keep.Key) bool {
 		if off == ruleEvery {
-			return x.refill.Any(x.b.Others(key))
+			return slices.ContainsFunc(x.b.Others(key), func(name string) bool { return x.refill.Covers([]string{name}) })
 		}
 		return x.refill.Covers(x.b.Others(key))
 	})
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"frosthub/internal/chance"
 	"frosthub/keep"
 )
 
@@ -201,7 +202,6 @@
 	from    time.Duration // since when somebody waits
 	run     uint64        // see Message
 	notice  uint64
-	settles bool // nobody waits for it
 }
 
 // Box is one box's part. Make it with New.
@@ -222,7 +222,7 @@
 	noteIDs uint64 // of intents in the store, which may still have some of an earlier Box in hand
 	sends   []Send
 	out     []Outcome
-	chance  uint64
+	chance  chance.Chance
 	stats   Stats
 	leaving bool
 	waits   []*note // of this turn: those to be taken over, as far as there is room
@@ -230,6 +230,7 @@
 	bytes   int     // and of their results
 	asks    []Processor
 	fences  map[string]fence
+	goes    uint64 // print of the lists that it goes by
 }
 
 // run is one at a box's processor.
@@ -305,7 +306,7 @@
 	cfg.Notes, cfg.InHand, cfg.Bytes = cmp.Or(cfg.Notes, notesUsual), cmp.Or(cfg.InHand, inHandUsual), cmp.Or(cfg.Bytes, bytesUsual)
 	return &Box{cfg: cfg, store: store, peers: peers, now: now, notes: map[keep.Key]*note{}, byNote: map[uint64]keep.Key{}, byRun: map[run]*note{},
 		claims: map[keep.Key]*claim{}, groups: map[keep.Key][][]string{}, fences: map[string]fence{}, noteIDs: cfg.Life << 32,
-		chance: seed | 1}
+		chance: chance.New(seed), goes: goes(cfg)}
 }
 
 // Take hands over what is to be sent, and what becomes of reqs, since the last call.
@@ -334,13 +335,6 @@
 	return s
 }
 
-func (b *Box) draw(n int) int {
-	b.chance ^= b.chance << 13
-	b.chance ^= b.chance >> 7
-	b.chance ^= b.chance << 17
-	return int(b.chance % uint64(n))
-}
-
 // groupsOf are the groups of which majorities are needed.
 func (b *Box) groupsOf(key keep.Key) [][]string {
 	if g := b.groups[key]; g != nil {
@@ -936,16 +930,13 @@
 		case keep.Repeat, keep.Broken, keep.TooLate: // it is noted already
 			answer(Granted)
 			return
-		case keep.Fresh, keep.InDoubt: // others noted its begin, or an earlier life of this box did
-			n = b.newNote(m.Key)
-			n.begun = v == keep.InDoubt
-		case keep.Blind: // that it ended so is known now, whatever this disk has lost
-			if !b.store.Learn(b.now, keep.Told{Key: m.Key}) {
+		case keep.Fresh, keep.InDoubt, keep.Blind: // others noted its begin, or an earlier life of this box did, or may have
+			if v == keep.Blind && !b.store.Learn(b.now, keep.Told{Key: m.Key}) {
 				answer(Full)
 				return
 			}
 			n = b.newNote(m.Key)
-			n.begun = true
+			n.begun = v != keep.Fresh
 		default:
 			answer(Full)
 			return
@@ -1250,7 +1241,7 @@
 	if by.Box != "" {
 		b.send(by.Box, Message{Kind: Holds, Key: c.key, Ballot: by})
 	}
-	c.sent = b.now + time.Duration(b.draw(int(b.cfg.Again)))
+	c.sent = b.now + time.Duration(b.chance.Below(int(b.cfg.Again)))
 }
 
 // look asks the group what is known, for reqs that wait.
@@ -1363,10 +1354,6 @@
 			b.toAll(c, Message{Kind: End, End: c.kind, Result: c.result, Made: c.made})
 		}
 	case waits:
-		if c.settles && c.first == 0 && len(c.ids) == 0 {
-			delete(b.claims, c.key)
-			return
-		}
 		if b.enough(c) {
 			return
 		}
@@ -1374,7 +1361,7 @@
 			b.look(c)
 		}
 	case peeking:
-		if c.settles && b.now > c.due && c.first == 0 && len(c.ids) == 0 {
+		if b.now > c.due && c.first == 0 && len(c.ids) == 0 { // nobody waits for it: see Settle
 			delete(b.claims, c.key)
 			return
 		}
@@ -1517,6 +1504,7 @@
 func (b *Box) Move(now time.Duration, members, before []Member) {
 	b.now = max(b.now, now)
 	b.cfg.Members, b.cfg.Before = members, before
+	b.goes = goes(b.cfg)
 	clear(b.groups)
 }
 
