What must run once is known by its idempotency key; shared reads, customers, told times

Followed in logs of a trial that printed what reaches a backend: a keyed req brings Idempotency-Key and no X-Object, and backend/keys.go knew repeats by X-Object alone (remember returned at 'nothing by which a repeat could be known').

Also found in these lines: a keyed req whose run failed was forgotten (its repeat ran), at the memory bound results were forgotten with their reqs, two tries in one batch both ran, and a try that came in the window's last moment and lay unread was taken for a new one. With customers in the settings every req counted for the first of them; how long a caller waits was not read where it is told; a run could be told to go on without its call, for which this protocol has no word (it waited until its due time). Settings were changed in place in the caller's map.

Change: keys go by handler, customer and idempotency key, from arrival on and by when a req came; what must run once is never forgotten before its window is over and all of it read, is refused where there is no room to know it, and a repeat of one that never ran is refused. One table of fields serves both fronts.

--- a/backend/ajp.go
+++ b/backend/ajp.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bytes"
 	"crypto/subtle"
 	"errors"
 	"strconv"
@@ -97,44 +96,21 @@
 		a.r.route = string(m.Route)
 		a.set(pathField, m.Path)
 		a.set(queryField, m.Query)
-		m.Headers.Each(func(name, v []byte) { a.set(x.field(name), v) })
+		var room [32]byte
+		m.Headers.Each(func(name, v []byte) { a.setAll(f.http[string(lower(room[:0], name))], v) })
 		f.request(a, true)
 	}
 }
 
-// field knows a header.
-func (x *jp) field(name []byte) field {
-	var room [24]byte
-	if len(name) <= len(room) {
-		for i, c := range name {
-			if 'A' <= c && c <= 'Z' {
-				c += 'a' - 'A'
-			}
-			room[i] = c
-		}
-		switch string(room[:len(name)]) {
-		case "x-request-id":
-			return idField
-		case "x-request-start":
-			return startField
-		case "x-caller":
-			return callerField
-		case "x-cost-ms":
-			return costField
-		case "x-memory-kb":
-			return memoryField
-		case "x-rank":
-			return rankField
-		case "x-object":
-			return objectField
-		}
-	}
-	for _, own := range x.f.own {
-		if bytes.EqualFold(name, []byte(own.header)) {
-			return own.means
+// lower gives a name in lower case, in room where that is enough.
+func lower(room, name []byte) []byte {
+	for _, c := range name {
+		if 'A' <= c && c <= 'Z' {
+			c += 'a' - 'A'
 		}
+		room = append(room, c)
 	}
-	return otherField
+	return room
 }
 
 func (x *jp) answer(b []byte, _ uint16, keep bool, a *reply) []byte {
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"sync/atomic"
@@ -43,16 +44,17 @@
 	box   *conn.Inbox
 	ln    []*conn.Listener
 
-	ctl      *overload.Controller // nil until the processor is up
-	handlers []handler
-	canStop  bool            // runs may be interrupted here
-	reqs     map[uint64]*req // held, running, or running on without being owed
-	owed     int             // reqs without their answer
-	events   []overload.Event
-	now      time.Duration
-	unix     int64         // the same moment in Unix milliseconds
-	wall     time.Duration // and as a span since the start of 1970
-	next     time.Duration
+	ctl       *overload.Controller // nil until the processor is up
+	handlers  []handler
+	customers []string        // their names, in the order of the settings
+	canStop   bool            // runs may be interrupted here
+	reqs      map[uint64]*req // held, running, or running on without being owed
+	owed      int             // reqs without their answer
+	events    []overload.Event
+	now       time.Duration
+	unix      int64         // the same moment in Unix milliseconds
+	wall      time.Duration // and as a span since the start of 1970
+	next      time.Duration
 
 	wake      time.Duration // when the module wants a Timer event; 0 not
 	gaugesBy  time.Duration // the event waits for the gauges until then; 0 does not
@@ -87,6 +89,8 @@
 type handler struct {
 	name       string
 	replayable bool
+	uniqued    bool          // its reqs bring a key by which a repeat is known, and run once
+	window     time.Duration // in which such a repeat may come
 	timeout    time.Duration
 	value      float64
 }
@@ -106,6 +110,7 @@
 	part, _ := cfg.Settings["backend"].(map[string]any)
 	b.canStop = part["halt"] != nil && part["halt"] != "off"
 	b.cfg.Settings = b.keeper.init(b)
+	b.fit()
 	list, _ := b.cfg.Settings["handlers"].([]any)
 	for _, v := range list {
 		m, _ := v.(map[string]any)
@@ -115,7 +120,15 @@
 			timeout = timeoutMissing
 		}
 		value, _ := m["value"].(float64)
-		b.handlers = append(b.handlers, handler{name: name, replayable: m["repeats"] == "replayable", timeout: timeout, value: value})
+		window, _ := m["window"].(time.Duration)
+		b.handlers = append(b.handlers, handler{name: name, replayable: m["repeats"] == "replayable",
+			uniqued: m["repeats"] == "uniqued", window: window, timeout: timeout, value: value})
+	}
+	customers, _ := b.cfg.Settings["customers"].([]any)
+	for _, v := range customers {
+		m, _ := v.(map[string]any)
+		name, _ := m["name"].(string)
+		b.customers = append(b.customers, name)
 	}
 	b.cluster.init(b)
 	b.door.init(b)
@@ -129,6 +142,18 @@
 	return b
 }
 
+// fit makes the settings those of this backend alone, and of what its protocols can say: the processor has no word by
+// which a run goes on without its call, so none of that is worth anything here.
+func (b *Backend) fit() {
+	settings := maps.Clone(b.cfg.Settings)
+	if part, ok := settings["backend"].(map[string]any); ok {
+		part = maps.Clone(part)
+		delete(part, "handler_skip_value")
+		settings["backend"] = part
+	}
+	b.cfg.Settings = settings
+}
+
 // handlerOf is the handler of that name, -1 if there is none.
 func (b *Backend) handlerOf(name string) int {
 	return slices.IndexFunc(b.handlers, func(h handler) bool { return h.name == name })
--- a/backend/cluster.go
+++ b/backend/cluster.go
@@ -368,9 +368,9 @@
 		}
 		r.ev.RepeatOf = r.fore
 	} else if r.guard.replay {
-		c.b.keys.meet(r)
+		c.b.keys.meet(r) // where there is no room it is not remembered: it may run again
 	}
-	c.b.events = append(c.b.events, r.ev)
+	c.b.submit(r)
 }
 
 // settled closes the account of a req that was taken over: its answer is the group's.
--- a/backend/door.go
+++ b/backend/door.go
@@ -45,7 +45,7 @@
 	edges map[*edge]struct{}
 	parts int // bytes of reqs that are not yet whole, of all
 
-	own []ownField // those that the operator named
+	cgi, http map[string][]field // what a name means: as CGI has it, as HTTP has it in lower case
 }
 
 // protocol is what one way to ask has of its own: its parser, the slots of a connection, how an answer is cut.
@@ -106,21 +106,29 @@
 	keep bool
 }
 
+// fieldNames are the fields as HTTP names them, what the deployment and the operators of others call theirs.
+var fieldNames = []ownField{{"X-Request-Id", idField}, {"X-Request-Start", startField}, {"X-Caller", callerField},
+	{"X-Cost-Ms", costField}, {"X-Memory-Kb", memoryField}, {"X-Rank", rankField}, {"X-Object", objectField},
+	{"Idempotency-Key", onceField}, {"X-Tenant", tenantField}, {"X-Timeout-Ms", timeoutField}}
+
 func (f *door) init(b *Backend) {
 	f.b, f.edges = b, map[*edge]struct{}{}
-	for _, x := range []ownField{{b.cfg.Figures.CustomerField, "", customerField}, {b.cfg.Keep.KeyField, "", keyField},
-		{b.cfg.Keep.MadeField, "", madeField}} {
+	f.cgi = map[string][]field{"SCRIPT_NAME": {pathField}, "QUERY_STRING": {queryField}}
+	f.http = map[string][]field{}
+	for _, x := range append(slices.Clone(fieldNames), ownField{b.cfg.Figures.CustomerField, customerField},
+		ownField{b.cfg.Keep.KeyField, keyField}, ownField{b.cfg.Keep.MadeField, madeField}) {
 		if x.header != "" {
-			x.param = "HTTP_" + strings.ToUpper(strings.ReplaceAll(x.header, "-", "_"))
-			f.own = append(f.own, x)
+			param, lower := "HTTP_"+strings.ToUpper(strings.ReplaceAll(x.header, "-", "_")), strings.ToLower(x.header)
+			f.cgi[param] = append(f.cgi[param], x.means)
+			f.http[lower] = append(f.http[lower], x.means)
 		}
 	}
 }
 
-// ownField is a header that an operator gave a meaning.
+// ownField is a header and its meaning.
 type ownField struct {
-	header, param string // as HTTP and as CGI name it
-	means         field
+	header string
+	means  field
 }
 
 // room is how many connections there may be in all when one more is accepted: calls always find theirs.
@@ -245,8 +253,7 @@
 type field uint8
 
 const (
-	otherField field = iota
-	pathField
+	pathField field = iota
 	queryField
 	idField
 	startField
@@ -258,6 +265,9 @@
 	customerField
 	keyField
 	madeField
+	onceField
+	tenantField
+	timeoutField
 )
 
 // asked is a req whose fields are being read.
@@ -272,7 +282,9 @@
 	owner       []byte  // the customer's name whole, and
 	key         []byte  // the field that names what must not run twice: both only where something is guarded
 	made        float64 // Unix milliseconds; 0 not told
-	why         string  // what is wrong with it
+	once        string  // its idempotency key
+	tenant      string
+	why         string // what is wrong with it
 }
 
 // newAsked begins one.
@@ -288,6 +300,13 @@
 	return n
 }
 
+// setAll takes a field in each of its meanings.
+func (a *asked) setAll(names []field, v []byte) {
+	for _, name := range names {
+		a.set(name, v)
+	}
+}
+
 // set takes a field.
 func (a *asked) set(name field, v []byte) {
 	switch name {
@@ -322,6 +341,12 @@
 		a.key = append(a.key[:0], v...)
 	case madeField:
 		a.made = a.number(v, math.MaxInt64/2)
+	case onceField:
+		a.once = string(v)
+	case tenantField:
+		a.tenant = string(v)
+	case timeoutField:
+		a.r.waits = time.Duration(a.number(v, 1e9) * float64(time.Millisecond))
 	}
 }
 
@@ -369,7 +394,7 @@
 		return
 	}
 	unread := max(0, time.Duration(b.unix-int64(a.started))*time.Millisecond)
-	if b.ctl == nil || unread > b.handlers[r.h].timeout { // nobody waits; so old a start would tell of a standstill
+	if b.ctl == nil || unread > b.handlers[r.h].timeout || r.waits > 0 && unread > r.waits { // nobody waits; so old a start would tell of a standstill
 		reason = account.Aged
 		if b.ctl == nil {
 			reason = account.NotReady
@@ -378,8 +403,12 @@
 		f.owe(e, r.ticket, r.id, reason)
 		return
 	}
-	ev.ID, ev.Handler, ev.Unread = r.id, r.h, unread
-	r.of, r.ev, r.since = subject{r.h, ev.Subject}, *ev, b.now
+	ev.ID, ev.Handler, ev.Unread, ev.Customer = r.id, r.h, unread, slices.Index(b.customers, a.tenant)
+	r.of = subject{h: r.h, name: ev.Subject}
+	if b.handlers[r.h].uniqued {
+		r.of = subject{r.h, a.tenant, a.once}
+	}
+	r.ev, r.since, r.came = *ev, b.now, b.now-unread
 	r.guard = b.keeper.guards(a)
 	b.reqs[r.id] = r
 	b.owed++
--- a/backend/fcgi.go
+++ b/backend/fcgi.go
@@ -39,7 +39,7 @@
 	switch m.Kind {
 	case fastcgi.Request:
 		a := f.newAsked(e, m.Slot, m.Keep, m.Body)
-		whole := fastcgi.Each(m.Params, func(name, v []byte) { a.set(x.field(name), v) })
+		whole := fastcgi.Each(m.Params, func(name, v []byte) { a.setAll(f.cgi[string(name)], v) })
 		f.request(a, whole)
 	case fastcgi.Bad:
 		f.bad(e, m.Slot, false, f.nameless(e), 0, account.BadFields, "too large, or without its parameters")
@@ -60,36 +60,6 @@
 	}
 }
 
-// field knows a parameter: headers as CGI names them.
-func (x *fcgi) field(name []byte) field {
-	switch string(name) {
-	case "SCRIPT_NAME":
-		return pathField
-	case "QUERY_STRING":
-		return queryField
-	case "HTTP_X_REQUEST_ID":
-		return idField
-	case "HTTP_X_REQUEST_START":
-		return startField
-	case "HTTP_X_CALLER":
-		return callerField
-	case "HTTP_X_COST_MS":
-		return costField
-	case "HTTP_X_MEMORY_KB":
-		return memoryField
-	case "HTTP_X_RANK":
-		return rankField
-	case "HTTP_X_OBJECT":
-		return objectField
-	}
-	for _, own := range x.f.own {
-		if string(name) == own.param {
-			return own.means
-		}
-	}
-	return otherField
-}
-
 // end closes a slot without an answer.
 func (x *fcgi) end(slot uint16, keep bool, status byte) {
 	x.f.b.scratch = fastcgi.AppendEnd(x.f.b.scratch[:0], slot, status)
--- a/backend/keys.go
+++ b/backend/keys.go
@@ -7,113 +7,177 @@
 	"frosthub/overload"
 )
 
-const keptShare = 0.08 // of the memory limit, for results kept for repeats
+const (
+	keptShare       = 0.08                 // of the memory limit, for what is remembered for repeats
+	rememberedBytes = 400                  // of a remembered req beside its names and its result
+	answerMost      = 4 << 10              // bytes of a result, by the protocol of the deployment
+	windowMore      = 2 * time.Millisecond // to a window: starts are told in whole milliseconds, and so is the time
+)
 
-// subject is what reads must have in common so that one may be answered from another's result.
+// subject is what reqs must have in common so that one may be answered from another's result: a read's is what it is
+// about, that of a req that must run once is its idempotency key, which is its caller's own.
 type subject struct {
-	h    int
-	name string
+	h           int
+	owner, name string
 }
 
 // entry is a remembered req. Its result is there once its run has ended well.
 type entry struct {
 	id     uint64
 	of     subject
-	till   time.Duration
+	once   bool          // it must not run again: a repeat gets what came of it, be it nothing
+	till   time.Duration // of a req that must run once: what came before is a repeat; of a read: what is read before
 	ended  bool
+	ok     bool
 	result []byte
+	bytes  int
 }
 
-// keys is the table of remembered reqs. Which are kept, and for how long, the module says.
+// keys is the table of remembered reqs. Reads are remembered as long as the module says and their result may be shared;
+// what must run once from its arrival until all that came in its window was read.
 type keys struct {
-	b    *Backend
-	of   map[subject]*entry
-	byID map[uint64]*entry
-	kept int
+	b        *Backend
+	of       map[subject]*entry
+	byID     map[uint64]*entry
+	kept     int
+	shareFor time.Duration // how long after its end the result of a read may serve others
 }
 
-func (k *keys) init(b *Backend) { k.b, k.of, k.byID = b, map[subject]*entry{}, map[uint64]*entry{} }
+func (k *keys) init(b *Backend) {
+	k.b, k.of, k.byID = b, map[subject]*entry{}, map[uint64]*entry{}
+	part, _ := b.cfg.Settings["backend"].(map[string]any)
+	k.shareFor, _ = part["share_for"].(time.Duration)
+}
 
-// repeatOf gives the remembered req that one about the same would repeat, 0 if there is none.
-func (k *keys) repeatOf(of subject) uint64 {
-	if e := k.of[of]; e != nil && e.till > k.b.now {
-		return e.id
+// meet has a req that the module is about to hear of repeat what is remembered about the same. One that must run once
+// is remembered from then on, since its repeat may come in the same batch; it tells whether there is room for that.
+func (k *keys) meet(r *req) bool {
+	if r.of.name == "" {
+		return true // nothing by which a repeat could be known
 	}
-	return 0
+	h := &k.b.handlers[r.h]
+	e := k.of[r.of]
+	if e != nil && e.once && r.came < e.till || e != nil && !e.once && k.b.now < e.till {
+		r.fore = e.id
+		r.ev.RepeatOf = e.id
+		return true
+	}
+	if !h.uniqued {
+		return true
+	}
+	return k.add(r)
 }
 
-// meet has a req that the module is about to hear of repeat what is remembered about the same.
-func (k *keys) meet(r *req) {
-	if r.ev.Subject != "" {
-		r.fore = k.repeatOf(r.of)
-		r.ev.RepeatOf = r.fore
+// add remembers a req and tells whether there was room, also for the result of one that must run once.
+func (k *keys) add(r *req) bool {
+	k.drop(k.of[r.of])
+	h := &k.b.handlers[r.h]
+	e := &entry{id: r.id, of: r.of, once: h.uniqued, till: r.came + h.window + windowMore}
+	e.bytes = e.least()
+	if e.once {
+		e.bytes += answerMost
+	}
+	if float64(k.kept+e.bytes) > k.b.share(keptShare) {
+		return false
 	}
+	k.of[r.of], k.byID[r.id] = e, e
+	k.kept += e.bytes
+	return true
 }
 
+// remember follows the module's word that repeats may be answered from a req; of a read it says for how long.
 func (k *keys) remember(r *req, lifetime time.Duration) {
-	if r.of.name == "" {
-		return // nothing by which a repeat could be known
+	if r.of.name == "" || k.byID[r.id] == nil && !k.add(r) {
+		return
 	}
-	e := k.byID[r.id]
-	if e == nil {
-		k.drop(k.of[r.of])
-		e = &entry{id: r.id, of: r.of}
-		k.of[r.of], k.byID[r.id] = e, e
+	if e := k.byID[r.id]; !e.once {
+		e.till = k.b.now + lifetime
 	}
-	e.till = k.b.now + lifetime
 }
 
+// least is what an entry takes without a result.
+func (e *entry) least() int { return rememberedBytes + len(e.of.owner) + len(e.of.name) }
+
 func (k *keys) drop(e *entry) {
 	if e != nil {
-		k.kept -= len(e.result)
-		delete(k.of, e.of)
+		k.kept -= e.bytes
+		if k.of[e.of] == e {
+			delete(k.of, e.of)
+		}
 		delete(k.byID, e.id)
 	}
 }
 
-// join answers a repeat from its forerunner, now or when that ends.
+// join answers a repeat from its forerunner, now or when that ends. One that is no longer remembered never ran.
 func (k *keys) join(r *req) {
 	if f := k.b.reqs[r.fore]; f != nil {
 		r.at = joined
 		f.joins = append(f.joins, r)
 		return
 	}
-	if e := k.byID[r.fore]; e != nil && e.ended {
-		k.b.ended(r, overload.OK, account.Repeated, 0, e.result)
-		return
+	e := k.byID[r.fore]
+	k.repeated(r, e != nil, e != nil && e.ok, e.body())
+}
+
+func (e *entry) body() []byte {
+	if e == nil {
+		return nil
+	}
+	return e.result
+}
+
+// repeated ends a repeat as its forerunner ended.
+func (k *keys) repeated(r *req, ran, ok bool, result []byte) {
+	switch {
+	case ok:
+		k.b.ended(r, overload.OK, account.Repeated, 0, result)
+	case ran:
+		k.b.ended(r, overload.Errored, account.Forerunner, 0, nil)
+	default:
+		k.b.ended(r, overload.Errored, account.ComeAgain, 0, nil)
 	}
-	k.b.ended(r, overload.Errored, account.Forerunner, 0, nil)
 }
 
-// ended follows the end of a forerunner, also of one that never ran: a good result is kept, those that wait get
-// the same.
-func (k *keys) ended(f *req, how overload.Outcome, result []byte) {
+// ended follows the end of a forerunner. A good result is kept for a while, and those that wait get the same. A read
+// that came to nothing is forgotten, what must run once only if it never ran: else a repeat would be its second run.
+func (k *keys) ended(f *req, how overload.Outcome, ran bool, result []byte) {
+	ok := how == overload.OK
 	if e := k.byID[f.id]; e != nil {
-		if how == overload.OK && float64(k.kept+len(result)) <= k.b.share(keptShare) {
-			e.ended, e.result = true, append([]byte(nil), result...)
-			k.kept += len(result)
+		e.ended, e.ok = true, ok
+		k.kept -= e.bytes
+		e.bytes = e.least()
+		if room := float64(k.kept+e.bytes+len(result)) <= k.b.share(keptShare); ok && room {
+			e.result = append([]byte(nil), result...)
+			e.bytes += len(result)
 		} else {
+			e.ok = false
+		}
+		k.kept += e.bytes
+		if !e.once {
+			e.till = min(e.till, k.b.now+k.shareFor)
+		}
+		if !e.ok && !(e.once && ran) {
 			k.drop(e)
 		}
 	}
 	joins := f.joins
 	f.joins = nil
 	for _, r := range joins {
-		if k.b.reqs[r.id] != r {
-			continue // given up meanwhile
-		}
-		if how == overload.OK {
-			k.b.ended(r, overload.OK, account.Repeated, 0, result)
-		} else {
-			k.b.ended(r, overload.Errored, account.Forerunner, 0, nil)
+		if k.b.reqs[r.id] == r { // else given up meanwhile
+			k.repeated(r, ran, ok, result)
 		}
 	}
 }
 
-// tidy drops what has expired.
+// tidy drops what has expired. What must run once is kept until all that came in its window was read: what lay unread
+// for longer than its client timeout is refused at the door.
 func (k *keys) tidy() {
 	for _, e := range k.byID { // only removal: the order does not matter
-		if e.till <= k.b.now {
+		till := e.till
+		if e.once {
+			till += k.b.handlers[e.of.h].timeout
+		}
+		if till <= k.b.now && (e.ended || !e.once) {
 			k.drop(e)
 		}
 	}
--- a/backend/req.go
+++ b/backend/req.go
@@ -50,12 +50,14 @@
 
 	ev      overload.Event // strange: its arrival
 	since   time.Duration  // and when that was
+	came    time.Duration  // when it came to the machine
 	unknown uint64         // the question for gauges whose answer proves that it is known if it is not rejected
 
 	guard   *guarded // nil where it may run twice
 	taken   bool     // over from another box: nobody waits for it on a connection
 	settled bool     // taken over, and its account is closed
 
+	waits time.Duration // how long its caller waits from when it came, as told; 0 not told
 	of    subject
 	fore  uint64 // the remembered req that it repeats
 	joins []*req // those that wait for its result
@@ -82,8 +84,10 @@
 	case overload.Trim:
 		b.keep = a.For
 		return
-	case overload.Forget:
-		b.keys.drop(b.keys.byID[a.ID]) // also of a req that has ended
+	case overload.Forget: // also of a req that has ended
+		if e := b.keys.byID[a.ID]; e != nil && !e.once { // what must run once goes as it never ran: by its end
+			b.keys.drop(e)
+		}
 		return
 	}
 	r := b.reqs[a.ID]
@@ -165,8 +169,18 @@
 		if !b.keeper.admit(r) {
 			return
 		}
-	} else {
-		b.keys.meet(r)
+	} else if !b.keys.meet(r) {
+		b.door.declined(r, account.KeepFull)
+		b.answered(r)
+		return
+	}
+	b.submit(r)
+}
+
+// submit has the module hear of a req.
+func (b *Backend) submit(r *req) {
+	if r.waits > 0 {
+		r.ev.Left = max(time.Millisecond, r.waits-r.ev.Unread)
 	}
 	b.events = append(b.events, r.ev)
 }
@@ -206,7 +220,7 @@
 	case strange, held, joined:
 		delete(b.reqs, r.id)
 		b.keeper.leave(r)
-		b.keys.ended(r, overload.Errored, nil)
+		b.keys.ended(r, overload.Errored, false, nil)
 	case asking, calling:
 		b.endRun(r)
 	}
@@ -243,7 +257,7 @@
 	}
 	b.cluster.settled(r, why)
 	delete(b.reqs, r.id)
-	b.keys.ended(r, how, body)
+	b.keys.ended(r, how, r.sent && why != account.NeverRan, body)
 }
 
 // reasonOf says how the end of a run is accounted for.
--- a/backend/stand_test.go
+++ b/backend/stand_test.go
@@ -51,6 +51,7 @@
 	disk      *stand.Disk     // of what is kept
 	hold      *sync.Mutex     // held while the disk stands still
 	lives     atomic.Int32
+	gate      chan struct{} // holds the owner
 }
 
 func (s *stage) print(party, format string, args ...any) {
@@ -388,7 +389,8 @@
 const testConfig = `{"name":"n3","listen":"%s","processor":"%s","control":"%s","backend":"%s","seed":"8c1f30d27a5be964",
 "stop_ms":%s,"limits":{"cores":1.0,"memory_mb":%s,"sockets":%s},"settings":{"servers":2,"tickUs":1000,
 "classes":[{"name":"status","credit":1,"giveUpUs":1500000,"goalTimeUs":900000,"idempotency":"retryable"},
-{"name":"file-claim","credit":3,"giveUpUs":1500000,"goalTimeUs":900000,"idempotency":"fragile"}],
+{"name":"file-claim","credit":3,"giveUpUs":1500000,"goalTimeUs":900000,"idempotency":"%s","windowUs":60000000}],
+"tenants":[{"name":"north","quotaPerS":%s},{"name":"south","quotaPerS":50}],
 "familyInfo":{"cores":2,"downstream":"tier","halt":"%s","keyKb":10,"memoryKb":100000,"runFactor":8,"senders":2,
 "shareForUs":800000,"ownStats":["cpu_busy","runnable","mem_used","sockets"],"signal":"allowance","tellsGone":true},
 "invariants":{"answerSlackUs":80000,"drainGraceUs":300000,"fallMultiple":8},
@@ -463,7 +465,8 @@
 		tier = ""
 	}
 	return fmt.Appendf(nil, testConfig, s.listen, s.processor.ln.Addr(), s.control.LocalAddr(), tier,
-		option("stop_ms", "3000"), option("memory_mb", "192"), option("sockets", "200"), option("halt", "discard"))
+		option("stop_ms", "3000"), option("memory_mb", "192"), option("sockets", "200"),
+		option("claim", "fragile"), option("north", "1000"), option("halt", "discard"))
 }
 
 func (s *stage) config() Config {
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -79,6 +79,15 @@
 	case "pause": // the owner stands still, as on a machine that does; what is sent to it lies unread
 		d, _ := time.ParseDuration(w[1])
 		s.b.box.Post(func() { time.Sleep(d) })
+	case "owner": // it stands still between "holds" and "goes"; what is sent meanwhile is one batch
+		if w[1] == "holds" {
+			gate, held := make(chan struct{}), make(chan struct{})
+			s.gate = gate
+			s.b.box.Post(func() { close(held); <-gate })
+			<-held
+		} else {
+			close(s.gate)
+		}
 	case "crowd": // how many, how many may stay: of connections that carry nothing
 		n, _ := strconv.Atoi(w[1])
 		var open []net.Conn
