--- a/account/reason.go
+++ b/account/reason.go
@@ -70,7 +70,7 @@
 	Repeated:       {Served, "repeated", "the result of the req that it repeats"},
 	Shed:           {Refused, "shed", "turned away by the overload controller"},
 	Aged:           {Refused, "aged", "older than its client timeout when it was read"},
-	NotReady:       {Refused, "not-ready", "the processor was not up yet"},
+	NotReady:       {Refused, "not-ready", "the processor was not up yet, or the process is about to end"},
 	Slots:          {Refused, "slots", "more reqs open on its connection than the protocol allows"},
 	Unprotected:    {Refused, "not-protected", "must not run twice, and the disk that keeps what ran has failed"},
 	StillReading:   {Refused, "still-reading", "must not run twice, and what ran before is still being read from the disk"},
--- a/backend/ajp.go
+++ b/backend/ajp.go
@@ -44,7 +44,12 @@
 
 func (x *jp) front() account.Front { return account.AJP }
 func (x *jp) held() int            { return x.p.Held() }
-func (x *jp) drop()                { x.p = ajp.NewServer(x.f.b.cfg.AJP.packet()) }
+
+func (x *jp) drop() {
+	if x.p.Part() {
+		x.p, x.part = ajp.NewServer(x.f.b.cfg.AJP.packet()), false
+	}
+}
 
 func (x *jp) open() int {
 	if x.p.Open() {
@@ -73,6 +78,9 @@
 func (x *jp) message(m ajp.Message) {
 	f, e := x.f, x.e
 	b := f.b
+	if e.last {
+		return
+	}
 	e.used, e.sent = b.now, true
 	switch m.Kind {
 	case ajp.CPing:
@@ -82,9 +90,7 @@
 		b.scratch = ajp.AppendMore(b.scratch[:0], b.cfg.AJP.packet())
 		e.c.Write(b.scratch)
 	case ajp.Shutdown: // a front end has no say in that
-		b.count.BadConns++
-		b.note("bad connection", "from", "front end", "why", errShutdown)
-		e.c.Close(errShutdown)
+		f.cut(e, errShutdown)
 	case ajp.Bad:
 		f.bad(e, ajpSlot, false, f.nameless(e), 0, account.BadFields, "too large a body")
 	case ajp.Request:
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -23,15 +23,11 @@
 const (
 	gaugeWait      = 10 * time.Millisecond  // for the gauges, then the last ones must do: short of a look
 	tidyEvery      = 100 * time.Millisecond // between looks at idle connections
-	closeBefore    = 300 * time.Millisecond // of the stop: time for what crosses the closing
-	leaveBefore    = 150 * time.Millisecond // of the stop: what the module takes for it, so that its last answers get out
-	exitBefore     = 100 * time.Millisecond // of the stop: time to end the process
-	giveUp         = 20 * time.Millisecond  // of the stop: to end it whatever is left
-	lookLeaving    = 10 * time.Millisecond  // between looks at what may be closed in between
 	outShare       = 0.2                    // of the memory limit, for answers that edge nodes leave
 	spare          = 16                     // descriptors kept for the processor, calls, reports and the runtime
 	crowdedAt      = 0.8                    // part of the connections from which idle ones are closed early
 	timeoutMissing = 10 * time.Second       // of a handler's clients where none is told: as the module takes it
+	lingerShare    = 0.0625                 // of the connections, for those that are ended and wait for the peer's close
 	inShare        = 0.125                  // of the memory limit, for what is read and not yet handled of all
 	startSpan      = time.Hour              // how far back a processor may have started: times stay positive
 )
@@ -64,9 +60,8 @@
 	cheap     bool
 	keep      time.Duration // idle connections are closed after this; 0 as usual
 	tidyAt    time.Duration
-	leaving   bool
+	phase     phase
 	stopAt    time.Duration
-	closed    bool // the listening socket
 	door      door
 	link      link
 	tier      nextTier
@@ -218,10 +213,14 @@
 		b.box.Most = int(b.share(outShare))
 		b.box.InMost = int64(b.share(inShare))
 	}
+	b.box.LingerMost = max(1, int(lingerShare*float64(b.door.room())))
+	if ctx.Err() != nil {
+		return nil // told to leave before anything could be read
+	}
 	if err := b.openBook(); err != nil {
 		return err
 	}
-	defer b.closeListener()
+	defer b.closeListeners()
 	b.keeper.open()
 	defer b.keeper.close()
 	if b.cluster.on() {
@@ -268,7 +267,7 @@
 		b.cluster.send()
 		b.keeper.hand()
 		b.lease.report(b)
-		if b.finished() {
+		if b.shutdown() {
 			b.flush(t)
 			b.settle()
 			b.log.Info("left", "counters", b.counters())
@@ -331,9 +330,6 @@
 		b.audit()
 	}
 	b.at(b.tidyAt)
-	if b.leaving && b.now < b.stopAt-closeBefore {
-		b.at(b.stopAt - closeBefore)
-	}
 }
 
 func (b *Backend) timerEvent() {
@@ -378,7 +374,7 @@
 	slots := 0
 	for e := range b.door.edges {
 		slots += len(e.open)
-		invariant.Check(e.cut || e.p.open() >= len(e.open)+len(e.checks), "open slots are known to the parser")
+		invariant.Check(e.last || e.p.open() >= len(e.open)+len(e.checks), "open slots are known to the parser")
 	}
 	invariant.Check(owed == b.owed && owed == slots, "held and running reqs are those owed, each on one slot")
 	b.compare()
@@ -399,26 +395,6 @@
 	b.timerEvent() // the first reply has the health, the signal and the first wake
 }
 
-// leave tells the module of the notice.
-func (b *Backend) leave() {
-	b.leaving, b.stopAt = true, b.now+b.cfg.Stop
-	b.cluster.leave()
-	b.log.Info("leaving", "within", b.cfg.Stop, "owed", b.owed)
-	b.events = append(b.events, overload.Event{Kind: overload.Leave, Left: b.cfg.Stop - leaveBefore})
-}
-
-// finished closes what is open near the stop, and tells when the process may end.
-func (b *Backend) finished() bool {
-	if !b.leaving || b.now < b.stopAt-closeBefore {
-		return false
-	}
-	b.closeListener()
-	b.door.closeIdle()
-	b.at(b.now + lookLeaving)
-	nothing := b.owed == 0 && b.box.Stalled() == 0
-	return b.now >= b.stopAt-exitBefore && nothing || b.now >= b.stopAt-giveUp || b.ctl == nil
-}
-
 // listen accepts connections at an address.
 func (b *Backend) listen(address string, accept func(c *conn.Conn)) error {
 	ln, err := b.box.Listen(address, b.door.room(), accept, func() { b.turned.Add(1) })
@@ -427,12 +403,3 @@
 	}
 	return err
 }
-
-func (b *Backend) closeListener() {
-	if !b.closed {
-		b.closed = true
-		for _, ln := range b.ln {
-			_ = ln.Close()
-		}
-	}
-}
--- a/backend/counters.go
+++ b/backend/counters.go
@@ -10,7 +10,7 @@
 // Counters tell what a backend has taken in, sent and answered since its start.
 type Counters struct {
 	Conns, ConnsRefused, ConnsClosed, ConnsTrimmed int64
-	Checks, BadReqs, BadConns                      int64
+	Checks, BadReqs, BadConns, Unanswered          int64
 	Begun, Stopped, Ended, Asked, Taken, Handed    int64
 	Calls, CallsOK, CallsFailed                    int64
 	Links, LinksLost, Rejects, Remarks, Repeated   int64
@@ -28,7 +28,7 @@
 		slog.Group("conns", "taken", c.Conns, "no_room", c.ConnsRefused, "closed", c.ConnsClosed, "trimmed",
 			c.ConnsTrimmed, "bad", c.BadConns, "open", c.Open),
 		slog.Group("reqs", "taken", c.Reqs.Taken, "served", c.Reqs.Served, "refused", c.Reqs.Refused, "failed",
-			c.Reqs.Failed, "open", c.Reqs.Open, "differs", c.Differs, "owed", c.Owed, "bad", c.BadReqs, "checks", c.Checks),
+			c.Reqs.Failed, "open", c.Reqs.Open, "differs", c.Differs, "owed", c.Owed, "bad", c.BadReqs, "checks", c.Checks, "unanswered", c.Unanswered),
 		slog.Group("runs", "begun", c.Begun, "stopped", c.Stopped, "ended", c.Ended, "repeated", c.Repeated, "taken", c.Taken, "handed", c.Handed),
 		slog.Group("calls", "asked", c.Asked, "made", c.Calls, "ok", c.CallsOK, "failed", c.CallsFailed),
 		slog.Group("link", "made", c.Links, "lost", c.LinksLost, "rejects", c.Rejects, "remarks", c.Remarks,
--- /dev/null
+++ b/backend/crossing_test.go
@@ -0,0 +1,647 @@
+package backend
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"frosthub/internal/stand"
+)
+
+// These tests force the moments in which two events cross: the owner is held at a gate while the other event happens, or
+// the event is posted to it, so that nothing hangs on how fast a machine is. docs/notes/crossings.md names them.
+
+// crossing has a backend that serves, its processor up.
+func crossing(t *testing.T, options map[string]string) *stage {
+	s := &stage{t: t, edges: map[string]*edgeNode{}, known: map[string]bool{}}
+	s.start(options)
+	s.want("processor: hello 0")
+	s.step([]string{"processor", "says", "hi warm 500000"})
+	s.want("control: lease n3 Ready")
+	return s
+}
+
+// take takes the first line that begins so, if a party has printed one.
+func (s *stage) take(start string) (line string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, l := range s.lines {
+		if strings.HasPrefix(l, start) {
+			s.lines = append(s.lines[:i:i], s.lines[i+1:]...)
+			return l, true
+		}
+	}
+	return "", false
+}
+
+// want waits until a party has printed the line, and takes it.
+func (s *stage) want(line string) {
+	s.t.Helper()
+	got := ""
+	if !s.within(func() (ok bool) { got, ok = s.take(line); return ok }) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.t.Fatalf("no %q, but %q", line, s.lines)
+	}
+	if got != line {
+		s.t.Fatalf("%q, not %q", got, line)
+	}
+}
+
+// never fails the test if a party has printed a line that begins so.
+func (s *stage) never(start string) {
+	s.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.lines {
+		if strings.HasPrefix(l, start) {
+			s.t.Errorf("%q", l)
+		}
+	}
+}
+
+func (s *stage) within(f func() bool) bool {
+	for end := time.Now().Add(patient); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if f() {
+			return true
+		}
+	}
+	return false
+}
+
+// hold keeps the owner at a gate until the returned function is called.
+func (s *stage) holdOwner() (release func()) {
+	gate, held := make(chan struct{}), make(chan struct{})
+	s.b.box.Post(func() { close(held); <-gate })
+	<-held
+	return sync.OnceFunc(func() { close(gate) })
+}
+
+// turn has the owner call f, and waits until the turn of that is over.
+func (s *stage) turn(f func()) {
+	done := make(chan struct{})
+	s.b.box.Post(func() { f(); s.b.box.Post(func() { close(done) }) })
+	select {
+	case <-done:
+	case <-s.b.stopped:
+	}
+}
+
+// closes has the process be so near its stop that it closes now.
+func (s *stage) closes() { s.turn(s.closing) }
+
+func (s *stage) closing() {
+	s.b.leave()
+	s.b.stopAt = s.b.now + closeBefore
+	s.b.shutdown()
+}
+
+// client is one connection of an edge node whose answers are read one by one.
+type client struct {
+	t *testing.T
+	c *net.TCPConn
+	r *bufio.Reader
+}
+
+func (s *stage) client() *client {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.listen)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(2 * patient))
+	return &client{t: s.t, c: c.(*net.TCPConn), r: bufio.NewReader(c)}
+}
+
+func (c *client) sends(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.c, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// answer reads a whole answer: its slot and first line; "end" is the orderly end of the connection.
+func (c *client) answer() string {
+	text := ""
+	for {
+		head := make([]byte, 8)
+		if _, err := io.ReadFull(c.r, head); errors.Is(err, io.EOF) {
+			return "end"
+		} else if err != nil {
+			return err.Error()
+		}
+		content := make([]byte, int(binary.BigEndian.Uint16(head[4:]))+int(head[6]))
+		if _, err := io.ReadFull(c.r, content); err != nil {
+			return err.Error()
+		}
+		if head[1] == 6 {
+			text += string(content)
+		} else if head[1] != 3 {
+			return fmt.Sprint("record ", head[1])
+		}
+		if head[1] == 3 {
+			line, _, _ := strings.Cut(text, "\r\n")
+			return fmt.Sprintf("%d %s", binary.BigEndian.Uint16(head[2:]), line)
+		}
+	}
+}
+
+func (c *client) wants(all ...string) {
+	c.t.Helper()
+	for _, want := range all {
+		if got := c.answer(); got != want {
+			c.t.Errorf("%q, not %q", got, want)
+		}
+	}
+}
+
+// served has the connection be known: a req of it is run and answered.
+func (s *stage) served(c *client, slot uint16) {
+	s.t.Helper()
+	c.sends(request(slot, nil))
+	s.want(fmt.Sprintf("processor: begin %016x status \"\"", slot))
+	s.ends(slot)
+	c.wants(fmt.Sprintf("%d Status: 200 OK", slot))
+}
+
+// ends has the processor say that the run of a slot's req ended well.
+func (s *stage) ends(slot uint16) {
+	s.step([]string{"processor", "notes", "complete", fmt.Sprintf("%016x", slot), "ok", "5", "done"})
+}
+
+func (s *stage) over() {
+	s.t.Helper()
+	s.want("backend: ended: <nil>")
+}
+
+const (
+	refusedLine = " Status: 503 Service Unavailable"
+	erroredLine = " Status: 500 Internal Server Error"
+	doneLine    = " Status: 200 OK"
+)
+
+// TestShutdownCrossings: SIGTERM and the closing that follows it, with a req in each place.
+func TestShutdownCrossings(t *testing.T) {
+	long := map[string]string{"stop_ms": "60000"}
+	for _, x := range []struct {
+		name string
+		play func(s *stage)
+	}{
+		{"at rest: ended in order, a req that crosses it is not run", func(s *stage) {
+			c := s.client()
+			s.served(c, 1)
+			s.closes()
+			c.sends(request(2, nil))
+			c.wants("end")
+			s.over()
+			s.never("processor: begin 0000000000000002")
+		}},
+		{"half read: its rest comes in the closing and is refused", func(s *stage) {
+			c := s.client()
+			s.served(c, 1)
+			whole := request(2, nil)
+			c.sends(whole[:len(whole)-20])
+			s.halfRead(1)
+			s.closes()
+			c.sends(whole[len(whole)-20:])
+			c.wants("2"+refusedLine, "end")
+			s.over()
+			s.never("processor: begin 0000000000000002")
+		}},
+		{"half read for good: nothing is owed", func(s *stage) {
+			c := s.client()
+			c.sends(request(2, nil)[:30])
+			s.halfRead(1)
+			s.closes()
+			s.turn(func() { s.b.stopAt = s.b.now + exitBefore })
+			c.wants("end")
+			s.over()
+		}},
+		{"whole and not handled, in the same batch as the notice: taken on, within the grace", func(s *stage) {
+			c := s.client()
+			s.served(c, 1)
+			release := s.holdOwner()
+			s.leave()
+			c.sends(request(2, nil))
+			release()
+			s.want(`processor: begin 0000000000000002 status ""`)
+			s.ends(2)
+			c.wants("2" + doneLine)
+			s.closes()
+			c.wants("end")
+			s.over()
+		}},
+		{"in the accept queue: taken, and refused", func(s *stage) {
+			s.served(s.client(), 1)
+			release := s.holdOwner()
+			s.b.box.Post(s.closing)
+			c := s.client()
+			c.sends(request(2, nil))
+			release()
+			if got := c.answer(); got != "2"+refusedLine && got != "end" { // the latter if its bytes came after it was ended
+				s.t.Error(got)
+			}
+			s.over()
+			s.never("processor: begin 0000000000000002")
+		}},
+		{"running: its end in the closing is answered, then its connection ends", func(s *stage) {
+			c := s.client()
+			c.sends(request(1, nil))
+			s.want(`processor: begin 0000000000000001 status ""`)
+			s.closes()
+			s.ends(1)
+			c.wants("1"+doneLine, "end")
+			s.over()
+		}},
+		{"running for good: answered before the stop", func(s *stage) {
+			c := s.client()
+			c.sends(request(1, nil))
+			s.want(`processor: begin 0000000000000001 status ""`)
+			s.closes()
+			s.turn(func() { s.b.stopAt = s.b.now + giveUp })
+			c.wants("1" + erroredLine)
+			s.over()
+		}},
+		{"strange, and the processor says nothing: not waited for in the closing", func(s *stage) {
+			s.step([]string{"processor", "mute"})
+			c := s.client()
+			c.sends(request(1, nil))
+			s.strangers(1)
+			s.closes()
+			s.want(`processor: begin 0000000000000001 status ""`)
+			s.ends(1)
+			c.wants("1"+doneLine, "end")
+			s.over()
+		}},
+		{"a deep check at the processor: answered in the closing", func(s *stage) {
+			s.turn(func() { s.b.cheap = false })
+			c := s.client()
+			c.sends(request(1, map[string]string{"SCRIPT_NAME": "/_health", "QUERY_STRING": "deep=1"}))
+			s.until(func() bool { return len(s.b.link.trials) == 1 })
+			s.closes()
+			c.wants("1"+refusedLine, "end")
+			s.over()
+		}},
+		{"a second notice changes nothing", func(s *stage) {
+			c := s.client()
+			c.sends(request(1, nil))
+			s.want(`processor: begin 0000000000000001 status ""`)
+			s.closes()
+			var before, after time.Duration
+			s.turn(func() { before = s.b.stopAt; s.b.now += time.Millisecond; s.b.leave(); after = s.b.stopAt })
+			if before != after {
+				s.t.Error("the stop moved by", after-before)
+			}
+			s.ends(1)
+			c.wants("1"+doneLine, "end")
+			s.over()
+		}},
+		{"SIGHUP in the drain and in the closing: what runs goes on", func(s *stage) {
+			c := s.client()
+			c.sends(request(1, nil))
+			s.want(`processor: begin 0000000000000001 status ""`)
+			s.turn(s.b.leave)
+			s.step([]string{"moves"})
+			s.want("new processor: hello 0")
+			s.step([]string{"processor", "says", "hi warm 500100"})
+			s.closes()
+			s.step([]string{"moves"})
+			s.want("new processor: hello 0")
+			s.step([]string{"processor", "says", "hi warm 500200"})
+			s.ends(1)
+			c.wants("1"+doneLine, "end")
+			s.over()
+		}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			x.play(crossing(t, long))
+		})
+	}
+	t.Run("before the processor is up: refused, and the process ends", func(t *testing.T) {
+		t.Parallel()
+		s := &stage{t: t, edges: map[string]*edgeNode{}, known: map[string]bool{}}
+		s.start(long)
+		s.want("processor: hello 0")
+		c := s.client()
+		c.sends(request(1, nil))
+		c.wants("1" + refusedLine)
+		s.closes()
+		c.wants("end")
+		s.over()
+	})
+}
+
+// halfRead waits until so many connections hold a req that is not whole.
+func (s *stage) halfRead(n int) {
+	s.t.Helper()
+	s.until(func() bool {
+		have := 0
+		for e := range s.b.door.edges {
+			if len(e.open) == 0 && e.p.open() > 0 {
+				have++
+			}
+		}
+		return have == n
+	})
+}
+
+// strangers waits until the processor is asked for so many reqs.
+func (s *stage) strangers(n int) {
+	s.t.Helper()
+	s.until(func() bool { return len(s.b.link.strange) == n })
+}
+
+// until waits until the owner finds it so.
+func (s *stage) until(f func() bool) {
+	s.t.Helper()
+	if !s.within(func() bool {
+		is := false
+		s.turn(func() { is = f() })
+		return is
+	}) {
+		s.t.Fatal("it does not come about")
+	}
+}
+
+// TestBrokenStream: who breaks the protocol gets the answers of what was read whole of it, and then the end.
+func TestBrokenStream(t *testing.T) {
+	t.Parallel()
+	s := crossing(t, nil)
+	c := s.client()
+	c.sends(request(1, nil))
+	s.want(`processor: begin 0000000000000001 status ""`)
+	c.sends(request(2, nil)[:30] + strings.Repeat("?", 40)) // half a req, and what is no record
+	c.sends(request(3, nil))
+	s.until(func() bool { return s.b.count.BadConns == 1 })
+	s.ends(1)
+	c.wants("1"+doneLine, "end")
+	s.never("processor: begin 0000000000000003")
+	s.until(func() bool { return len(s.b.door.edges) == 0 && s.b.door.parts == 0 })
+}
+
+// TestPartsLetGo: what is held of reqs that never come whole is let go with their answers, however they end.
+func TestPartsLetGo(t *testing.T) {
+	t.Parallel()
+	s := crossing(t, nil)
+	c := s.client()
+	s.served(c, 20)
+	const parts = 4
+	for slot := range uint16(parts) {
+		c.sends(stand.Record(1, slot+1, "\x00\x01\x01\x00\x00\x00\x00\x00") + stand.Record(4, slot+1, strings.Repeat("x", 1000)))
+	}
+	s.until(func() bool { return s.b.door.parts == parts*1000 })
+	for range parts {
+		s.turn(func() {
+			s.b.now += wholeMost
+			s.b.door.tidy()
+		})
+		if got := c.answer(); !strings.HasSuffix(got, " Status: 400 Bad Request") {
+			t.Error(got)
+		}
+	}
+	s.until(func() bool { return s.b.door.parts == 0 })
+}
+
+// TestSilentFlood: silent clients that take all places leave one for an edge node, at once, and those for calls.
+func TestSilentFlood(t *testing.T) {
+	t.Parallel()
+	s := crossing(t, map[string]string{"sockets": "64"})
+	for range 200 {
+		c, err := net.Dial("tcp", s.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	s.until(func() bool { return s.b.count.Conns > 100 }) // those that came between two turns found no room
+	c := s.client()
+	s.served(c, 1)
+	s.until(func() bool { return s.b.count.ConnsTrimmed > 0 && int(s.b.box.Open.Load()) <= s.b.door.room() })
+}
+
+// TestSlowDial: a connection that stands only after its call was given up carries another one, and never that call.
+func TestSlowDial(t *testing.T) {
+	t.Parallel()
+	s := crossing(t, nil)
+	c := s.client()
+	c.sends(request(1, nil))
+	s.want(`processor: begin 0000000000000001 status ""`)
+	release := s.holdOwner() // the connection stands while the owner does not know of it
+	s.step([]string{"processor", "notes", "ask", "0000000000000001", "what"})
+	s.step([]string{"processor", "notes", "complete", "0000000000000001", "failed", "5", "-"})
+	release()
+	c.wants("1" + erroredLine)
+	s.until(func() bool { return s.b.tier.inHand() == 0 })
+	c.sends(request(2, nil))
+	s.want(`processor: begin 0000000000000002 status ""`)
+	s.step([]string{"processor", "notes", "ask", "0000000000000002", "what"})
+	s.want(`tier: invoke 0000000000000002 "what"`)
+	s.never("tier: invoke 0000000000000001")
+	s.step([]string{"tier", "replies", "0000000000000002", "that"})
+	s.want(`processor: answer 0000000000000002 "that"`)
+	s.ends(2)
+	c.wants("2" + doneLine)
+}
+
+// fullListener is a next tier whose queue of connections is full: a dial hangs until it is let go.
+func fullListener(t *testing.T) (address string, goes func() net.Listener) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err == nil {
+		err = syscall.Listen(fd, 0)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "full")
+	ln, err := net.FileListener(file)
+	_ = file.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	for { // until one hangs
+		c, err := net.DialTimeout("tcp", ln.Addr().String(), 100*time.Millisecond)
+		if err != nil {
+			return ln.Addr().String(), func() net.Listener { return ln }
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
+// TestSilentDial: a dial that nobody answers does not end its call while that has time.
+func TestSilentDial(t *testing.T) {
+	t.Parallel()
+	s := crossing(t, nil)
+	address, goes := fullListener(t)
+	cfg := s.config()
+	cfg.NextTier = address
+	s.b.Reload(cfg)
+	c := s.client()
+	c.sends(request(1, nil))
+	s.want(`processor: begin 0000000000000001 status ""`)
+	s.step([]string{"processor", "notes", "ask", "0000000000000001", "what"})
+	s.until(func() bool { return s.b.notes["next tier not reached"] != nil })
+	go func() {
+		ln := goes()
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				line, err := bufio.NewReader(c).ReadString('\n')
+				if id, _, _ := strings.Cut(strings.TrimPrefix(line, "invoke "), " "); err == nil {
+					_, _ = io.WriteString(c, id+" ok 4\r\nthat\r\n")
+				}
+			}()
+		}
+	}()
+	s.want(`processor: answer 0000000000000001 "that"`)
+	s.ends(1)
+	c.wants("1" + doneLine)
+}
+
+// TestForms: every legal form of a req, written byte by byte, is answered as if it had come whole; what no slot of the
+// connection has begun, and what the protocol does not know, does no harm to a req that is open beside it.
+func TestForms(t *testing.T) {
+	t.Parallel()
+	params := func(slot uint16, text string, step int) (out string) {
+		for i := 0; i < len(text); i += step {
+			out += stand.Record(4, slot, text[i:min(len(text), i+step)])
+		}
+		return out + stand.Record(4, slot, "")
+	}
+	text := func(slot uint16) (out string) {
+		for k, v := range usual(slot, nil) {
+			out += stand.Pair(k, v)
+		}
+		return out
+	}
+	begin := func(slot uint16) string { return stand.Record(1, slot, "\x00\x01\x01\x00\x00\x00\x00\x00") }
+	body := func(slot uint16, text string) string { return stand.Record(5, slot, text) + stand.Record(5, slot, "") }
+	a, b := text(3), text(4)
+	forms := []struct {
+		name, in string
+		done     []uint16
+		records  int // others than answers
+	}{
+		{"in one piece", request(2, nil), []uint16{2}, 0},
+		{"parameters of one byte a record", begin(3) + params(3, a, 1) + body(3, "x"), []uint16{3}, 0},
+		{"two reqs whose records alternate", begin(3) + begin(4) + stand.Record(4, 3, a) + stand.Record(4, 4, b) + stand.Record(4, 3, "") +
+			stand.Record(4, 4, "") + stand.Record(5, 4, "y") + stand.Record(5, 3, "x") + stand.Record(5, 4, "") + stand.Record(5, 3, ""), []uint16{3, 4}, 0},
+		{"a question for values and an unknown type between", begin(3) + stand.Record(9, 0, "\x0f\x00FCGI_MPXS_CONNS") + params(3, a, 100) +
+			stand.Record(77, 0, "what") + body(3, "x"), []uint16{3}, 2},
+		{"records of slots that never began, and an end of its own", stand.Record(2, 9, "") + stand.Record(5, 9, "z") + stand.Record(4, 9, "z") +
+			stand.Record(3, 9, "\x00\x00\x00\x00\x00\x00\x00\x00") + stand.Record(8, 9, "z") + request(5, nil), []uint16{5}, 1},
+		{"reqs one after the other in one piece", request(6, nil) + request(7, nil) + request(8, nil), []uint16{6, 7, 8}, 0},
+	}
+	s := crossing(t, nil)
+	for i, form := range forms {
+		open := uint16(20 + i) // a req that is open all the while
+		c := s.client()
+		c.sends(request(open, nil))
+		s.want(fmt.Sprintf("processor: begin %016x status \"\"", open))
+		for k := range form.in {
+			c.sends(form.in[k : k+1])
+		}
+		for _, slot := range form.done {
+			s.within(func() bool { _, runs := s.take(fmt.Sprintf("processor: begin %016x status", slot)); return runs })
+			s.ends(slot)
+			got := c.answer()
+			for range form.records {
+				if strings.HasPrefix(got, "record") {
+					got = c.answer()
+				}
+			}
+			if want := fmt.Sprintf("%d%s", slot, doneLine); got != want {
+				t.Errorf("%s: %q, not %q", form.name, got, want)
+			}
+		}
+		s.ends(open)
+		if got, want := c.answer(), fmt.Sprintf("%d%s", open, doneLine); got != want {
+			t.Errorf("%s, the req beside it: %q, not %q", form.name, got, want)
+		}
+		_ = c.c.Close()
+	}
+}
+
+// TestReplyCrossesCancel: the reply to a call that is given up in the same moment goes nowhere, and the connection that
+// carried it carries no other call.
+func TestReplyCrossesCancel(t *testing.T) {
+	t.Parallel()
+	s := crossing(t, nil)
+	c := s.client()
+	c.sends(request(1, nil))
+	s.want(`processor: begin 0000000000000001 status ""`)
+	s.step([]string{"processor", "notes", "ask", "0000000000000001", "what"})
+	s.want(`tier: invoke 0000000000000001 "what"`)
+	release := s.holdOwner()
+	s.b.box.Post(func() { s.b.door.takenBack(s.b.reqs[1].edge, 1) }) // as an abort that is read first
+	s.step([]string{"tier", "replies", "0000000000000001", "late"})
+	release()
+	s.until(func() bool { return s.b.tier.inHand() == 0 && s.b.tier.connections() == 0 })
+	s.want("tier: cancel 0000000000000001")
+	s.step([]string{"processor", "notes", "complete", "0000000000000001", "halted", "5", "-"})
+	s.until(func() bool { return len(s.b.reqs) == 0 })
+	s.never("processor: answer")
+}
+
+// TestResetInAnswer: a connection that is reset while its answer is being taken leaves nothing behind, and is told of.
+func TestResetInAnswer(t *testing.T) {
+	t.Parallel()
+	s := crossing(t, nil)
+	c := s.client()
+	_ = c.c.SetReadBuffer(1)
+	c.sends(request(1, nil))
+	s.want(`processor: begin 0000000000000001 status ""`)
+	s.turn(func() { // what the system does not take: the answer waits behind it
+		for e := range s.b.door.edges {
+			for len(e.out) == 0 && e.c.Pending() == 0 {
+				e.c.Write(make([]byte, 64<<10))
+				s.b.box.Flush(time.Now())
+			}
+		}
+	})
+	s.ends(1)
+	s.until(func() bool { return len(s.b.reqs) == 0 })
+	_ = c.c.SetLinger(0)
+	_ = c.c.Close()
+	s.until(func() bool { return len(s.b.door.edges) == 0 && s.b.count.Unanswered == 1 && s.b.box.Stalled() == 0 })
+}
+
+// TestControlSilent: nobody at the control plane's address, from the start and later, changes nothing; once somebody is
+// there again the next report comes.
+func TestControlSilent(t *testing.T) {
+	t.Parallel()
+	s := crossing(t, nil)
+	address := s.control.LocalAddr().String()
+	_ = s.control.Close()
+	sent := s.b.Counters().Reports
+	s.until(func() bool { return s.b.count.Reports >= sent+2 }) // at least one of them met the refusal of another
+	c := s.client()
+	s.served(c, 1)
+	back, err := net.ListenPacket("udp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = back.Close() }()
+	_ = back.SetReadDeadline(time.Now().Add(patient))
+	buf := make([]byte, 100)
+	if n, _, err := back.ReadFrom(buf); err != nil || string(buf[:n]) != "lease n3 Ready" {
+		t.Errorf("%q, %v", buf[:n], err)
+	}
+}
--- a/backend/door.go
+++ b/backend/door.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -34,6 +35,8 @@
 var (
 	errCrowded = errors.New("idle, and the place is needed")
 	errIdle    = errors.New("idle")
+	errLast    = errors.New("it was not to stay")
+	errLeaving = errors.New("the process ends")
 	errPart    = errors.New("a req does not come whole")
 	errParts   = errors.New("too much of reqs that are not whole")
 )
@@ -54,7 +57,7 @@
 	feed(p []byte) error // what was read; it calls back the door's request, bad and others
 	held() int           // bytes of reqs that are not whole
 	open() int           // slots in use: reqs that are read, and those not yet answered
-	drop()               // forget what is being read: the connection is being closed
+	drop()               // forget what is being read and is not whole
 
 	late(by time.Duration) (slot uint16, keep, any bool) // a req that was begun by then and is not whole
 	answer(b []byte, slot uint16, keep bool, a *reply) []byte
@@ -85,7 +88,8 @@
 	sent   bool          // it has sent a whole req
 	known  bool          // one of its reqs was known to the processor
 	rested bool          // it keeps no memory
-	cut    bool          // closed here; its end is still to be told
+	last   bool          // nothing more is read of it: it ends once what is open is answered
+	parts  int           // its bytes among the door's
 	out    []answer      // final answers that are not yet handed to the system, in order
 }
 
@@ -99,6 +103,9 @@
 // idle tells whether nothing is open and nothing waits to be sent.
 func (e *edge) idle() bool { return e.p.open() == 0 && e.c.Pending() == 0 }
 
+// busy tells whether it waits for an answer.
+func (e *edge) busy() bool { return len(e.open)+len(e.checks) > 0 }
+
 // check is a deep health check that waits for the processor.
 type check struct {
 	tag  uint64
@@ -148,34 +155,53 @@
 	c.Most = outMost
 	c.Left = func() { f.left(e) }
 	c.Data = func(p []byte) error {
-		if e.cut {
+		if e.last {
 			return nil
 		}
 		e.rested = false
-		before := e.p.held()
-		err := e.p.feed(p)
-		f.parts += e.p.held() - before
-		if err == nil && float64(f.parts) > b.share(partShare) {
-			f.cutWorst()
+		if err := e.p.feed(p); err != nil {
+			f.cut(e, err)
 		}
-		if err != nil {
-			b.count.BadConns++
-			b.note("bad connection", "from", "edge node", "why", err)
+		f.weigh(e)
+		if float64(f.parts) > b.share(partShare) {
+			f.cutWorst()
 		}
-		return err
+		return nil
 	}
 	c.Closed = func(err error) {
 		delete(f.edges, e)
-		f.parts -= e.p.held()
+		e.p.drop()
+		f.weigh(e)
 		b.count.ConnsClosed++
 		for _, slot := range slices.Sorted(maps.Keys(e.open)) { // the same bytes lead to the same decisions
-			b.gone(e.open[slot], overload.BrokenOff)
+			r := e.open[slot]
+			if r.at != strange {
+				f.unanswered(r.id, err)
+			}
+			b.gone(r, overload.BrokenOff)
 		}
 		for _, a := range e.out {
+			f.unanswered(a.id, err)
 			b.book.Close(b.wall, a.ticket, account.Undelivered)
 		}
 		e.out = nil
 	}
+	if len(f.edges) > f.most() {
+		f.evict()
+	}
+}
+
+// weigh takes over what a connection holds of reqs that are not whole.
+func (f *door) weigh(e *edge) {
+	held := e.p.held()
+	f.parts += held - e.parts
+	e.parts = held
+}
+
+// unanswered tells of a req that leaves without its answer.
+func (f *door) unanswered(id uint64, why error) {
+	f.b.count.Unanswered++
+	f.b.log.Warn("req without its answer", "id", fmt.Sprintf("%016x", id), "why", why)
 }
 
 // left closes the accounts of the answers whose last byte was handed to the system.
@@ -209,14 +235,31 @@
 	f.cut(worst, errParts)
 }
 
-// cut closes the connection of one that does not keep to the protocol.
+// cut reads no more of one that does not keep to the protocol. What was read whole of it is still owed its answers;
+// without any its connection is closed at once.
 func (f *door) cut(e *edge, why error) {
 	f.b.count.BadConns++
 	f.b.note("bad connection", "from", "edge node", "why", why)
-	f.parts -= e.p.held()
+	if f.lastOf(e); !e.busy() && e.c.Pending() == 0 {
+		e.c.Abort(why)
+		return
+	}
+	f.endOf(e, why)
+}
+
+// lastOf has nothing more be read of a connection.
+func (f *door) lastOf(e *edge) {
+	e.last = true
+	e.c.Deafen()
 	e.p.drop()
-	e.cut = true
-	e.c.Close(why)
+	f.weigh(e)
+}
+
+// endOf ends a connection of which nothing more is read once all that is open is answered.
+func (f *door) endOf(e *edge, why error) {
+	if e.last && !e.busy() {
+		e.c.End(why)
+	}
 }
 
 // bad answers a req that can't be taken. Who goes on with such is closed: it would begin again at once.
@@ -394,20 +437,17 @@
 		return
 	}
 	unread := max(0, time.Duration(b.unix-int64(a.started))*time.Millisecond)
-	if b.ctl == nil || unread > b.handlers[r.h].timeout || r.waits > 0 && unread > r.waits { // nobody waits; so old a start would tell of a standstill
+	if b.ctl == nil || b.phase >= closing || unread > b.handlers[r.h].timeout || r.waits > 0 && unread > r.waits { // nobody waits; so old a start would tell of a standstill
 		reason = account.Aged
-		if b.ctl == nil {
+		if b.ctl == nil || b.phase >= closing {
 			reason = account.NotReady
 		}
-		f.answer(e, r.slot, r.keep, &reply{status: 503})
+		f.answer(e, r.slot, r.keep && b.phase < closing, &reply{status: 503})
 		f.owe(e, r.ticket, r.id, reason)
 		return
 	}
 	ev.ID, ev.Handler, ev.Unread, ev.Customer = r.id, r.h, unread, slices.Index(b.customers, a.tenant)
-	r.of = subject{h: r.h, name: ev.Subject}
-	if b.handlers[r.h].uniqued {
-		r.of = subject{r.h, a.tenant, a.once}
-	}
+	r.of = b.keys.subjectOf(r, ev.Subject, a.tenant, a.once)
 	r.ev, r.since, r.came = *ev, b.now, b.now-unread
 	r.guard = b.keeper.guards(a)
 	b.reqs[r.id] = r
@@ -481,6 +521,8 @@
 	f.final(r, account.Shed, &reply{status: 503, after: after, dontRetry: dontRetry})
 }
 
+func (f *door) refused(r *req) { f.final(r, account.NotReady, &reply{status: 503}) }
+
 func (f *door) final(r *req, why account.Reason, a *reply) {
 	delete(r.edge.open, r.slot)
 	f.answer(r.edge, r.slot, r.keep, a)
@@ -498,56 +540,79 @@
 func (f *door) write(e *edge, keep bool) {
 	e.used = f.b.now
 	e.c.Write(f.b.scratch)
-	if !keep && e.p.open() == 0 {
-		e.c.End()
+	if !keep && !e.last {
+		f.lastOf(e)
 	}
+	f.endOf(e, errLast)
 }
 
-// tidy closes connections that are idle for too long, or the longest idle ones where places run short, and
+// most is how many connections there may be before the longest idle ones go.
+func (f *door) most() int { return int(crowdedAt * float64(f.room())) }
+
+// tidy ends connections that are idle for too long, or the longest idle ones where places run short, and
 // answers deep checks that got no word.
 func (f *door) tidy() {
 	b := f.b
-	most := int(crowdedAt * float64(f.room()))
 	keepFor := min(idleMost, cmp.Or(b.keep, idleMost))
-	var idle []*edge
 	for e := range f.edges {
-		for slot, k := range e.checks {
-			if b.now >= k.till {
-				delete(e.checks, slot)
-				f.health(e, slot, k.keep, false)
-			}
-		}
+		f.untried(e, b.now)
 		switch slot, keep, late := e.p.late(b.now - wholeMost); {
-		case e.cut:
+		case e.last:
 		case !e.sent && b.now-e.since >= wholeMost:
 			f.cut(e, errPart)
 		case late: // its other reqs may be good
 			f.bad(e, slot, keep, f.nameless(e), 0, account.NotWhole, errPart.Error())
+			f.weigh(e)
 		case !e.idle():
 		case b.now-e.used >= keepFor:
 			b.count.ConnsTrimmed++
-			e.c.Close(errIdle)
-		case len(f.edges) > most:
-			idle = append(idle, e)
+			e.c.End(errIdle)
 		case !e.rested && b.now-e.used >= restIdle:
 			e.rested = true
 			e.c.Rest()
 		}
 	}
-	if len(idle) > 0 {
-		slices.SortFunc(idle, func(x, y *edge) int { return cmp.Compare(x.used, y.used) })
-		for _, e := range idle[:min(len(idle), len(f.edges)-most)] {
-			b.count.ConnsTrimmed++
-			e.c.Close(errCrowded)
+	f.evict()
+}
+
+// untried answers the deep checks of a connection that got no word by then.
+func (f *door) untried(e *edge, by time.Duration) {
+	for slot, k := range e.checks {
+		if by >= k.till {
+			delete(e.checks, slot)
+			f.health(e, slot, k.keep, false)
+		}
+	}
+}
+
+// evict ends the longest idle connections where there are more than there should be. It acts as each connection comes
+// and not at the next look: a flood of silent ones takes all places in less time, and an edge node would find none.
+func (f *door) evict() {
+	var idle []*edge
+	over := -f.most()
+	for e := range f.edges {
+		if !e.c.Ending() {
+			if over++; !e.last && e.idle() {
+				idle = append(idle, e)
+			}
 		}
 	}
+	if over <= 0 {
+		return
+	}
+	slices.SortFunc(idle, func(x, y *edge) int { return cmp.Compare(x.used, y.used) })
+	for _, e := range idle[:min(len(idle), over)] {
+		f.b.count.ConnsTrimmed++
+		e.c.End(errCrowded)
+	}
 }
 
-// closeIdle closes all connections on which nothing is open.
-func (f *door) closeIdle() {
+// rest ends the connections on which nothing is open; with all also those on which a req is half read.
+func (f *door) rest(all bool) {
 	for e := range f.edges {
-		if e.idle() {
-			e.c.Close(errIdle)
+		if all && !e.busy() || e.idle() {
+			f.lastOf(e)
+			e.c.End(errLeaving)
 		}
 	}
 }
--- a/backend/fcgi.go
+++ b/backend/fcgi.go
@@ -20,7 +20,7 @@
 func (x *fcgi) front() account.Front { return account.FastCGI }
 func (x *fcgi) held() int            { return x.p.Held() }
 func (x *fcgi) open() int            { return x.p.Open() }
-func (x *fcgi) drop()                { x.p = fastcgi.Parser{} }
+func (x *fcgi) drop()                { x.p.Drop() }
 
 func (x *fcgi) late(by time.Duration) (slot uint16, keep, any bool) {
 	slot, keep = x.p.Late(by)
@@ -35,6 +35,9 @@
 func (x *fcgi) message(m fastcgi.Message) {
 	f, e := x.f, x.e
 	b := f.b
+	if e.last {
+		return
+	}
 	e.used, e.sent = b.now, true
 	switch m.Kind {
 	case fastcgi.Request:
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -564,7 +564,7 @@
 	b := k.b
 	for r := range k.writing {
 		due := r.guard.due
-		if b.leaving {
+		if b.phase > serving {
 			due = min(due, b.stopAt-leaveBefore)
 		}
 		if b.now < due {
--- a/backend/keys.go
+++ b/backend/keys.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"crypto/sha256"
+	"slices"
 	"time"
 
 	"frosthub/account"
@@ -11,19 +13,23 @@
 	keptShare       = 0.08                 // of the memory limit, for what is remembered for repeats
 	rememberedBytes = 400                  // of a remembered req beside its names and its result
 	answerMost      = 4 << 10              // bytes of a result, by the protocol of the deployment
+	askedMost       = 8                    // repeats of one whose ids are remembered
 	windowMore      = 2 * time.Millisecond // to a window: starts are told in whole milliseconds, and so is the time
 )
 
-// subject is what reqs must have in common so that one may be answered from another's result: a read's is what it is
-// about, that of a req that must run once is its idempotency key, which is its caller's own.
+// subject is what reqs must have in common so that one may be answered from another's result: that of a req that must
+// run once is its idempotency key, which is its customer's own; a read's is what it is about and its body, since the
+// result is made of both.
 type subject struct {
 	h           int
 	owner, name string
+	body        [sha256.Size]byte
 }
 
 // entry is a remembered req. Its result is there once its run has ended well.
 type entry struct {
 	id     uint64
+	asked  []uint64 // the last that repeated it
 	of     subject
 	once   bool          // it must not run again: a repeat gets what came of it, be it nothing
 	till   time.Duration // of a req that must run once: what came before is a repeat; of a read: what is read before
@@ -49,23 +55,39 @@
 	k.shareFor, _ = part["share_for"].(time.Duration)
 }
 
+func (k *keys) subjectOf(r *req, object, owner, once string) subject {
+	switch {
+	case k.b.handlers[r.h].uniqued:
+		return subject{h: r.h, owner: owner, name: once}
+	case object == "" || k.shareFor == 0:
+		return subject{}
+	}
+	return subject{h: r.h, name: object, body: sha256.Sum256(r.body)}
+}
+
 // meet has a req that the module is about to hear of repeat what is remembered about the same. One that must run once
-// is remembered from then on, since its repeat may come in the same batch; it tells whether there is room for that.
-func (k *keys) meet(r *req) bool {
+// is remembered from then on, since its repeat may come in the same batch. It gives why the req can't be taken: there is no
+// room to remember it, or its id is that of another try. Each try has its own, so somebody plays back what an edge node
+// sent: the processor knows the id, and would not be asked to run what is answered from here.
+func (k *keys) meet(r *req) account.Reason {
 	if r.of.name == "" {
-		return true // nothing by which a repeat could be known
+		return account.None // nothing by which a repeat could be known
 	}
 	h := &k.b.handlers[r.h]
 	e := k.of[r.of]
 	if e != nil && e.once && r.came < e.till || e != nil && !e.once && k.b.now < e.till {
+		if r.id == e.id || slices.Contains(e.asked, r.id) {
+			return account.Stranger
+		}
+		e.asked = append(e.asked[max(0, len(e.asked)-askedMost+1):], r.id)
 		r.fore = e.id
 		r.ev.RepeatOf = e.id
-		return true
+		return account.None
 	}
-	if !h.uniqued {
-		return true
+	if h.uniqued && !k.add(r) {
+		return account.KeepFull
 	}
-	return k.add(r)
+	return account.None
 }
 
 // add remembers a req and tells whether there was room, also for the result of one that must run once.
--- a/backend/lease.go
+++ b/backend/lease.go
@@ -48,7 +48,11 @@
 	if ready := b.good && b.ctl != nil; b.now >= l.next || ready != l.said {
 		l.next, l.said = b.now+reportEvery, ready
 		l.buf = control.AppendLease(l.buf[:0], b.cfg.Name, ready)
-		if _, err := l.c.Write(l.buf); err == nil {
+		_, err := l.c.Write(l.buf)
+		if err != nil { // the answer to an earlier one, to which nobody listened: this one was not sent
+			_, err = l.c.Write(l.buf)
+		}
+		if err == nil {
 			b.count.Reports++
 		}
 	}
--- a/backend/link.go
+++ b/backend/link.go
@@ -54,14 +54,14 @@
 	b := l.b
 	if l.moved && l.c != nil {
 		if b.now >= l.finish {
-			l.c.Close(conn.ErrDone)
+			l.c.Abort(conn.ErrDone) // what is in hand there is in doubt from now on
 			return
 		}
 		b.at(l.finish)
 	}
 	if len(l.strange) > 0 { // the processor takes no questions: the module decides, and knows when an answer is due
 		if till := l.strange[0].since + strangeMost; b.now >= till {
-			l.admit(math.MaxUint64)
+			l.admitAll()
 		} else {
 			b.at(till)
 		}
@@ -91,7 +91,7 @@
 	switch {
 	case address != l.address: // it has moved meanwhile
 		if err == nil {
-			c.Close(conn.ErrDone)
+			c.End(conn.ErrDone)
 		}
 	case err != nil:
 		b.note("processor not reached", "why", err)
@@ -127,7 +127,7 @@
 		l.moved, l.finish = true, l.b.now+linkFinish
 	}
 	if c := l.next; c != nil {
-		c.Close(conn.ErrDone) // its end lets the old link go on
+		c.End(conn.ErrDone) // its end lets the old link go on
 	}
 }
 
@@ -135,10 +135,10 @@
 func (l *link) replace() {
 	old, c := l.c, l.next
 	l.next, l.quiet, l.moved = nil, 0, false
-	l.admit(math.MaxUint64)
+	l.admitAll()
 	l.open(c)
 	if old != nil {
-		old.Close(conn.ErrDone)
+		old.End(conn.ErrDone)
 	}
 }
 
@@ -159,7 +159,7 @@
 		b.count.LinksLost++
 		b.note("link lost", "why", err)
 		l.c, l.up, l.moved = nil, false, false
-		l.admit(math.MaxUint64) // nobody can tell now
+		l.admitAll() // nobody can tell now
 		l.dialLater()
 		if l.next != nil {
 			l.replace()
@@ -224,6 +224,9 @@
 	}
 }
 
+// admitAll takes all strange reqs: nobody can tell, or there is no time to wait for it.
+func (l *link) admitAll() { l.admit(math.MaxUint64) }
+
 func (l *link) begin(r *req) {
 	if !l.ready() {
 		return // resume sends it
--- a/backend/main.go
+++ b/backend/main.go
@@ -17,6 +17,8 @@
 	asked := make(chan os.Signal, 8)
 	signal.Notify(asked, syscall.SIGHUP, syscall.SIGUSR1) // before all else: unheeded they end the process
 	defer signal.Stop(asked)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT) // a second one changes nothing
+	defer stop()
 	cfg, err := Load()
 	if err != nil {
 		return err
@@ -26,8 +28,6 @@
 	}
 	cfg.Limits.Apply()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	conn.Prepare(log)
 	b := New(cfg, log)
 	end, err := up(b)
--- a/backend/req.go
+++ b/backend/req.go
@@ -118,7 +118,7 @@
 			b.unowed(r)
 			return
 		}
-		if b.leaving && b.cluster.handsOver(r) {
+		if b.phase > serving && b.cluster.handsOver(r) {
 			return
 		}
 		if invariant.Check(r.at == held, "what is shed never ran") {
@@ -169,10 +169,17 @@
 		if !b.keeper.admit(r) {
 			return
 		}
-	} else if !b.keys.meet(r) {
-		b.door.declined(r, account.KeepFull)
-		b.answered(r)
-		return
+	} else {
+		switch why := b.keys.meet(r); why {
+		case account.None:
+		case account.Stranger:
+			b.door.unknown(r)
+			return
+		default:
+			b.door.declined(r, why)
+			b.answered(r)
+			return
+		}
 	}
 	b.submit(r)
 }
--- a/backend/roster.go
+++ b/backend/roster.go
@@ -218,7 +218,7 @@
 			c.links[m.Name] = l
 		}
 		if l.c != nil && l.address != m.Address {
-			l.c.Close(conn.ErrDone)
+			l.c.Abort(conn.ErrDone)
 		}
 		l.address, l.processor = m.Address, m.Processor
 	}
@@ -227,7 +227,7 @@
 			continue
 		}
 		if delete(c.links, name); l.c != nil {
-			l.c.Close(conn.ErrDone)
+			l.c.Abort(conn.ErrDone)
 		}
 		delete(c.told, name)
 	}
--- a/backend/tier.go
+++ b/backend/tier.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -126,15 +127,17 @@
 	t.dialing--
 	if address != t.address { // replaced meanwhile
 		if err == nil {
-			c.Close(conn.ErrDone)
+			c.End(conn.ErrDone)
 		}
 		t.dialMore()
 		return
 	}
 	if err != nil {
 		b.note("next tier not reached", "why", err)
-		if k := t.first(); k != nil {
-			t.end(k, overload.NoConnection)
+		if !errors.Is(err, conn.ErrSilent) { // else its calls may wait for another dial as long as they last
+			if k := t.first(); k != nil {
+				t.end(k, overload.NoConnection)
+			}
 		}
 		t.dialMore()
 		return
@@ -228,10 +231,14 @@
 	t.idle = slices.DeleteFunc(t.idle, func(o *wire) bool { return o == w })
 }
 
-// close ends a connection, and with it what is in hand there.
+// close ends a connection; what is in hand there is given up by it.
 func (t *tier) close(w *wire) {
 	t.forget(w)
-	w.c.Close(conn.ErrDone)
+	if len(w.calls) > 0 {
+		w.c.Abort(conn.ErrDone)
+	} else {
+		w.c.End(conn.ErrDone)
+	}
 }
 
 func (t *tier) end(k *call, how overload.Outcome) {
@@ -289,7 +296,7 @@
 	w.c.Write(t.b.scratch)
 	if len(w.calls) == 0 {
 		t.forget(w)
-		w.c.End()
+		w.c.End(conn.ErrDone)
 	}
 }
 
@@ -332,8 +339,12 @@
 	slices.Sort(late)
 	for _, id := range late {
 		k := t.calls[id]
+		how := overload.TimedOut
+		if k.w == nil {
+			how = overload.NoConnection // it never left
+		}
 		t.cancel(k.r)
-		t.end(k, overload.TimedOut)
+		t.end(k, how)
 	}
 	for len(t.idle) > 0 && b.now-t.idle[0].used >= t.safe {
 		t.close(t.idle[0])
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -2,16 +2,22 @@
 // Netpoll's goroutines only copy what was read into a ring and queue the connection; all callbacks run on the
 // owner, from Turn. What the owner writes goes out once a turn, by Flush, which never waits: netpoll's own
 // flush waits for the peer, so the descriptor is written to directly and what it does not take stays here.
+//
+// A connection ends in one orderly way, End: nothing more is taken, what was written is sent, the sending side is closed,
+// what still comes is read and dropped until the peer has closed too or a bound is reached, then the descriptor is
+// closed. A close over unread bytes would reset the connection and take answers with it that the peer has not read yet.
+// Abort closes at once; it is for those who break the protocol, and where the loss of what is in hand is meant.
 package conn
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"math"
-	"net"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +35,7 @@
 	retryAfter = 5 * time.Millisecond   // until a peer that took no bytes is tried again
 	stallMost  = 15 * time.Second       // a peer that takes nothing for so long has lost its answers anyway
 	dialFor    = 500 * time.Millisecond // a peer on the same machine or next to it answers far sooner
+	lingerFor  = 200 * time.Millisecond // after the sending side is closed, for the peer's close: many round trips
 )
 
 // Errors that end a connection.
@@ -38,6 +45,7 @@
 	ErrTooBig = errors.New("too much waits to be sent")
 	ErrDone   = errors.New("closed here")
 	ErrFlood  = errors.New("it sends more than is handled")
+	ErrSilent = errors.New("a dial that nobody answered in time")
 )
 
 // Conn is one connection. Its methods and callbacks belong to the owner.
@@ -53,13 +61,15 @@
 	out     Ring
 	sent    int
 	dirty   bool
-	last    bool      // to be closed once all is sent
+	ending  error     // why it is being ended, once all is sent
+	until   time.Time // its sending side is closed, it lingers until then
 	stalled time.Time // since when the peer took nothing, zero if it does
 	why     error     // why the owner closed it
 
 	mu     sync.Mutex // guards what follows, and fd against its closing
 	in     Ring
-	unread int // bytes of it that may wait for the owner; more closes it
+	unread int  // bytes of it that may wait for the owner; more closes it
+	deaf   bool // what comes is dropped
 	queued bool
 	flood  bool // closed as it sent too much
 	dead   bool // the descriptor may be closed: no more writes
@@ -74,17 +84,22 @@
 
 	InMost int64 // bytes of all that may wait for the owner; with more who sends much is closed
 
-	in      atomic.Int64 // and how many do
-	mu      sync.Mutex
-	queue   []any // *Conn or func()
-	spare   []any
-	dirty   []*Conn
-	stalled []*Conn
+	LingerMost int // connections that may linger; more closes the oldest
+
+	in        atomic.Int64 // and how many do
+	unseen    atomic.Int64 // connections accepted that no turn of the owner has ended with
+	seen      int64        // of these, in this turn
+	mu        sync.Mutex
+	queue     []any // *Conn or func()
+	spare     []any
+	dirty     []*Conn
+	stalled   []*Conn
+	lingering []*Conn // in order
 }
 
 // NewInbox returns an empty inbox.
 func NewInbox() *Inbox {
-	return &Inbox{Wake: make(chan struct{}, 1), Most: math.MaxInt, InMost: math.MaxInt64}
+	return &Inbox{Wake: make(chan struct{}, 1), Most: math.MaxInt, InMost: math.MaxInt64, LingerMost: math.MaxInt}
 }
 
 // Post has f called on the owner.
@@ -100,6 +115,13 @@
 	}
 }
 
+// Quiet tells whether nothing waits for the owner.
+func (b *Inbox) Quiet() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.queue) == 0
+}
+
 // Turn calls back for all that waits.
 func (b *Inbox) Turn() {
 	b.mu.Lock()
@@ -132,16 +154,16 @@
 			c.mu.Unlock()
 			if end {
 				if c.why == nil {
-					c.why = ErrPeer
+					c.why = cmp.Or(c.ending, ErrPeer)
 				}
 				c.Closed(c.why)
 			}
 			return
 		}
 		c.mu.Unlock()
-		if c.why == nil && c.Data != nil {
+		if c.why == nil && c.ending == nil && c.Data != nil {
 			if err := c.Data(p); err != nil {
-				c.Close(err)
+				c.Abort(err)
 			}
 		}
 		c.mu.Lock()
@@ -153,10 +175,15 @@
 
 // Write queues p to be sent by the next Flush.
 func (c *Conn) Write(p []byte) {
-	if c.why != nil {
+	if c.why != nil || c.ending != nil {
 		return
 	}
 	c.out.Write(p)
+	c.soil()
+}
+
+// soil has the next Flush look at the connection.
+func (c *Conn) soil() {
 	if !c.dirty {
 		c.dirty = true
 		c.box.dirty = append(c.box.dirty, c)
@@ -185,8 +212,8 @@
 // Pending tells how many bytes wait to be sent.
 func (c *Conn) Pending() int { return c.out.Len() }
 
-// Close ends the connection; Closed follows.
-func (c *Conn) Close(why error) {
+// Abort closes the connection at once, with all that was not sent; Closed follows.
+func (c *Conn) Abort(why error) {
 	if c.why != nil {
 		return
 	}
@@ -194,12 +221,26 @@
 	_ = c.nc.Close() // its callback marks the connection and queues it
 }
 
-// End closes the connection once all that was written is sent.
-func (c *Conn) End() {
-	c.last = true
-	c.Write(nil)
+// Deafen has all that comes from now on be dropped unread.
+func (c *Conn) Deafen() {
+	c.mu.Lock()
+	c.deaf = true
+	c.mu.Unlock()
 }
 
+// End ends the connection in the orderly way. Nothing of it is read or written any more; Closed follows.
+func (c *Conn) End(why error) {
+	if c.why != nil || c.ending != nil {
+		return
+	}
+	c.ending = why
+	c.Deafen()
+	c.soil()
+}
+
+// Ending tells whether the connection was ended or aborted here.
+func (c *Conn) Ending() bool { return c.ending != nil || c.why != nil }
+
 // Flush sends what was written since the last, as far as the peers take it. It returns how long until it
 // should be called again for those that did not, 0 if there are none.
 func (b *Inbox) Flush(now time.Time) time.Duration {
@@ -226,14 +267,46 @@
 		}
 	}
 	if all > b.Most {
-		worst.Close(ErrTooBig)
+		worst.Abort(ErrTooBig)
 	}
+	again := b.linger(now)
+	b.unseen.Add(-b.seen)
+	b.seen = 0
 	if len(keep) > 0 {
 		return retryAfter
 	}
-	return 0
+	return again
+}
+
+// linger closes the connections that have lingered for long enough, and gives the time to the next.
+func (b *Inbox) linger(now time.Time) time.Duration {
+	n := 0
+	for _, c := range b.lingering {
+		c.mu.Lock()
+		dead := c.dead
+		c.mu.Unlock()
+		if !dead {
+			b.lingering[n] = c
+			n++
+		}
+	}
+	clear(b.lingering[n:])
+	b.lingering = b.lingering[:n]
+	over := 0
+	for over < n && (n-over > b.LingerMost || !now.Before(b.lingering[over].until)) {
+		b.lingering[over].Abort(b.lingering[over].ending)
+		over++
+	}
+	b.lingering = slices.Delete(b.lingering, 0, over)
+	if len(b.lingering) == 0 {
+		return 0
+	}
+	return max(time.Millisecond, b.lingering[0].until.Sub(now))
 }
 
+// Lingering is the number of connections whose sending side is closed and which wait for the peer's close.
+func (b *Inbox) Lingering() int { return len(b.lingering) }
+
 // Stalled is the number of peers that left something of what was sent.
 func (b *Inbox) Stalled() int { return len(b.stalled) }
 
@@ -268,21 +341,27 @@
 				c.stalled = now
 			}
 			if c.out.Len() > c.Most {
-				c.Close(ErrTooBig)
+				c.Abort(ErrTooBig)
 				return false
 			}
 			if now.Sub(c.stalled) > stallMost {
-				c.Close(ErrStall)
+				c.Abort(ErrStall)
 				return false
 			}
 			return true
 		default:
-			c.Close(err)
+			c.Abort(err)
 			return false
 		}
 	}
-	if c.last {
-		c.Close(ErrDone)
+	if c.ending != nil && c.why == nil && c.until.IsZero() {
+		c.mu.Lock()
+		if !c.dead {
+			_ = syscall.Shutdown(c.fd, syscall.SHUT_WR) // where it fails the peer has gone, and its end follows
+		}
+		c.mu.Unlock()
+		c.until = now.Add(lingerFor)
+		c.box.lingering = append(c.box.lingering, c)
 	}
 	return false
 }
@@ -332,6 +411,14 @@
 func (c *Conn) read(_ context.Context, nc netpoll.Connection) error {
 	for n := nc.Reader().Len(); n > 0; n = nc.Reader().Len() {
 		c.mu.Lock()
+		if c.deaf {
+			c.mu.Unlock()
+			if err := nc.Reader().Skip(n); err != nil {
+				return err
+			}
+			_ = nc.Reader().Release()
+			continue
+		}
 		waits := c.in.Len() + n
 		if waits > c.unread || waits > kernelMost && c.box.in.Load()+int64(n) > c.box.InMost {
 			c.flood = true
@@ -371,11 +458,16 @@
 	return nil
 }
 
-// Dial connects in the background and has done called on the owner with a connection or an error.
+// Dial connects in the background and has done called on the owner with a connection or an error: ErrSilent where the far
+// side said neither yes nor no.
 func (b *Inbox) Dial(address string, done func(*Conn, error)) {
 	go func() {
+		start := time.Now()
 		nc, err := netpoll.DialConnection("tcp", address, dialFor)
 		if err != nil {
+			if time.Since(start) >= dialFor {
+				err = ErrSilent
+			}
 			b.Post(func() { done(nil, err) })
 			return
 		}
@@ -391,50 +483,3 @@
 		}
 	}()
 }
-
-// Listener accepts for an inbox.
-type Listener struct {
-	netpoll.Listener
-	box    *Inbox
-	most   int64
-	turned func()
-}
-
-// Listen accepts connections at the address, at most so many at a time with those dialled; accept is called on
-// the owner for each before its first Data, turned anywhere for each that found no room.
-func (b *Inbox) Listen(address string, most int, accept func(*Conn), turned func()) (*Listener, error) {
-	nl, err := netpoll.CreateListener("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	// Those accepted inherit it: without a bound the system would take in megabytes at a time from who sends them.
-	_ = syscall.SetsockoptInt(nl.Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, kernelMost)
-	l := &Listener{Listener: nl, box: b, most: int64(most), turned: turned}
-	loop, err := netpoll.NewEventLoop(
-		func(ctx context.Context, nc netpoll.Connection) error {
-			return ctx.Value(ctxKey{}).(*Conn).read(ctx, nc)
-		},
-		netpoll.WithOnPrepare(func(nc netpoll.Connection) context.Context {
-			c := b.adopt(nc)
-			_ = nc.AddCloseCallback(c.closed)
-			b.Post(func() { accept(c) })
-			return context.WithValue(context.Background(), ctxKey{}, c)
-		}))
-	if err != nil {
-		_ = nl.Close()
-		return nil, err
-	}
-	go func() { _ = loop.Serve(l) }()
-	return l, nil
-}
-
-// Accept takes a connection and closes it at once where there is no room, so that the queue never stands.
-func (l *Listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err == nil && nc != nil && l.box.Open.Load() >= l.most {
-		l.turned()
-		_ = nc.Close()
-		return nil, nil
-	}
-	return nc, err
-}
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -248,3 +249,115 @@
 		}
 	}
 }
+
+// TestEndInOrder: what a peer sends after the last answer does not take the answer with it, and is not read; the
+// descriptor is let go when the peer closes, and after a bound where it does not.
+func TestEndInOrder(t *testing.T) {
+	b := NewInbox()
+	var conns []*Conn
+	var ends []error
+	address, _ := serve(t, b, 100, &conns, &ends)
+	peer := dial(t, address)
+	if !owner(b, func() bool { return len(conns) == 1 }) {
+		t.Fatal("not accepted")
+	}
+	conns[0].Data = func([]byte) error { t.Error("read after the end"); return nil }
+	size := 0
+	for conns[0].Pending() == 0 { // as much as the system holds: the peer has not read it when the end comes
+		conns[0].Write(make([]byte, 64<<10))
+		size += 64 << 10
+		b.Flush(time.Now())
+	}
+	_, _ = peer.Write([]byte("read, and not handled when the end comes"))
+	for b.in.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	conns[0].End(errors.New("done"))
+	conns[0].Write([]byte("not sent"))
+	got, late := make(chan int, 1), make(chan struct{})
+	go func() {
+		n, _ := io.CopyN(io.Discard, peer, int64(size)-32<<10)
+		<-late
+		rest, err := io.ReadAll(peer)
+		if err != nil {
+			t.Error("the answer is cut:", err)
+		}
+		got <- int(n) + len(rest)
+	}()
+	if !owner(b, func() bool { return b.Lingering() == 1 }) {
+		t.Fatal("the sending side is not closed")
+	}
+	_, _ = peer.Write(make([]byte, 1000)) // over it the system would reset the connection, had it been closed
+	close(late)
+	if n := <-got; n != size {
+		t.Error(n, "bytes of", size)
+	}
+	_ = peer.Close()
+	if !owner(b, func() bool { return len(ends) == 1 }) || b.Open.Load() != 0 || ends[0].Error() != "done" {
+		t.Error("ends:", ends, "open", b.Open.Load())
+	}
+	deaf := dial(t, address)
+	_ = owner(b, func() bool { return len(conns) == 2 })
+	conns[1].End(ErrDone)
+	if !owner(b, func() bool { return len(ends) == 2 }) || b.Lingering() != 0 {
+		t.Error("a peer that never closes is waited for")
+	}
+	_ = deaf.Close()
+}
+
+// TestListenerEnds: what the system had accepted when the listening ends is taken, then nothing more.
+func TestListenerEnds(t *testing.T) {
+	b := NewInbox()
+	l, err := b.Listen("127.0.0.1:0", 100, func(*Conn) {}, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.mu.Lock() // the poller waits: connections stay in the system's queue
+	var peers []net.Conn
+	for range 3 {
+		peers = append(peers, dial(t, l.Addr().String()))
+	}
+	for !l.waits() {
+		time.Sleep(time.Millisecond)
+	}
+	l.ending = true // as Close does
+	l.mu.Unlock()
+	if !owner(b, l.Closed) || b.Open.Load() != 3 {
+		t.Error("closed:", l.Closed(), "taken:", b.Open.Load())
+	}
+	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		_ = c.Close()
+		t.Error("it still listens")
+	}
+	for _, p := range peers {
+		_ = p.Close()
+	}
+	one, _ := b.Listen("127.0.0.1:0", 100, func(*Conn) {}, func() {})
+	_ = one.Close()
+	if !one.Closed() {
+		t.Error("an empty queue is waited for")
+	}
+}
+
+// TestNothingHeldBack: the system sends small writes at once, on connections of either side: what it held back would go with
+// a reset.
+func TestNothingHeldBack(t *testing.T) {
+	b := NewInbox()
+	var conns []*Conn
+	var ends []error
+	address, _ := serve(t, b, 100, &conns, &ends)
+	b.Dial(address, func(c *Conn, err error) {
+		if err == nil {
+			c.Closed = func(error) {}
+			conns = append(conns, c)
+		}
+	})
+	if !owner(b, func() bool { return len(conns) == 2 }) {
+		t.Fatal("not connected")
+	}
+	for _, c := range conns {
+		if on, err := syscall.GetsockoptInt(c.fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY); err != nil || on == 0 {
+			t.Error("held back", on, err)
+		}
+	}
+}
--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -105,6 +105,15 @@
 	}
 }
 
+// Drop forgets the reqs that are not whole.
+func (p *Parser) Drop() {
+	for slot, s := range p.open { // only removal: the order does not matter
+		if !s.whole {
+			p.Done(slot)
+		}
+	}
+}
+
 // close takes no more of a req.
 func (p *Parser) close(s *stream) {
 	p.held -= len(s.params) + len(s.body)
--- a/internal/stand/box.go
+++ b/internal/stand/box.go
@@ -31,6 +31,7 @@
 	Sockets     int           // 1024 if 0
 	ProcCores   int           // of the processor, as the settings tell them; 2 if 0
 	Plain       bool          // an earlier version, which knows no commands
+	Gate        string        // read as its configuration in place of the file that is written; empty: that
 	Clock       time.Duration // by how much its time of day is wrong, where it is built with the tag powerloss
 
 	cmd *exec.Cmd
@@ -142,7 +143,7 @@
 		args = append(args, "--conf", conf)
 	}
 	b.cmd = exec.Command(b.Binary, args...)
-	b.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+config, "FROSTHUB_CLOCK="+b.Clock.String())
+	b.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+cmp.Or(b.Gate, config), "FROSTHUB_CLOCK="+b.Clock.String())
 	b.cmd.Stderr = &b.log
 	return b.cmd.Start()
 }
@@ -155,6 +156,9 @@
 	return b.Signal(syscall.SIGHUP)
 }
 
+// PID is the number of its process.
+func (b *Box) PID() int { return b.cmd.Process.Pid }
+
 // Signal sends it one.
 func (b *Box) Signal(s os.Signal) error { return b.cmd.Process.Signal(s) }
 
--- a/internal/stand/processor.go
+++ b/internal/stand/processor.go
@@ -47,7 +47,12 @@
 
 // NewProcessor listens on loopback and runs until Close.
 func NewProcessor(cores float64, work func(id uint64, handler string) time.Duration) (*Processor, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return NewProcessorAt("127.0.0.1:0", cores, work)
+}
+
+// NewProcessorAt listens at an address.
+func NewProcessorAt(address string, cores float64, work func(id uint64, handler string) time.Duration) (*Processor, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
