--- a/backend/crossing_test.go
+++ b/backend/crossing_test.go
@@ -645,3 +645,18 @@
 		t.Errorf("%q, %v", buf[:n], err)
 	}
 }
+
+// TestHalfClose: a peer that closes its sending side with a req open has given it up: its run is stopped, and the connection
+// ends with nothing left of either.
+func TestHalfClose(t *testing.T) {
+	t.Parallel()
+	s := crossing(t, nil)
+	c := s.client()
+	c.sends(request(1, nil))
+	s.want(`processor: begin 0000000000000001 status ""`)
+	_ = c.c.CloseWrite()
+	s.want("processor: interrupt 0000000000000001")
+	s.step([]string{"processor", "notes", "complete", "0000000000000001", "halted", "5", "-"})
+	s.until(func() bool { return len(s.b.reqs) == 0 && len(s.b.door.edges) == 0 && s.b.count.Unanswered == 1 })
+	c.wants("end")
+}
--- a/backend/peers.go
+++ b/backend/peers.go
@@ -286,11 +286,7 @@
 	c := w.c
 	w.c = nil
 	p.wires--
-	if w.k != nil {
-		c.Abort(conn.ErrDone) // the only way to give up a call over AJP
-	} else {
-		c.End(conn.ErrDone)
-	}
+	c.End(conn.ErrDone)
 }
 
 // closed follows the end of a connection. A call of which no byte had left, or that waited for a CPong, never ran; of
