What is remembered is given to no req that the processor was not asked for

A repeat is answered from memory without a begin, so the processor's word on its id is all that tells an edge node's req from a made-up one; on a known connection, and while the processor said nothing, none was asked for (door.request: e.known; link.admit at 0.5 s).

--- a/backend/door.go
+++ b/backend/door.go
@@ -453,7 +453,7 @@
 	b.reqs[r.id] = r
 	b.owed++
 	e.open[r.slot] = r
-	if e.known || !b.link.identify(r) {
+	if e.known && b.keys.repeats(r) == nil || !b.link.identify(r) {
 		b.arrived(r)
 	}
 }
--- a/backend/keys.go
+++ b/backend/keys.go
@@ -65,17 +65,26 @@
 	return subject{h: r.h, name: object, body: sha256.Sum256(r.body)}
 }
 
+// repeats gives what a req would repeat, nil if nothing.
+func (k *keys) repeats(r *req) *entry {
+	if e := k.of[r.of]; e != nil && (e.once && r.came < e.till || !e.once && k.b.now < e.till) {
+		return e
+	}
+	return nil
+}
+
 // meet has a req that the module is about to hear of repeat what is remembered about the same. One that must run once
 // is remembered from then on, since its repeat may come in the same batch. It gives why the req can't be taken: there is no
-// room to remember it, or its id is that of another try. Each try has its own, so somebody plays back what an edge node
+// room to remember it, nobody could be asked whether the processor knows it, or its id is that of another try. Each try has its own, so somebody plays back what an edge node
 // sent: the processor knows the id, and would not be asked to run what is answered from here.
 func (k *keys) meet(r *req) account.Reason {
 	if r.of.name == "" {
 		return account.None // nothing by which a repeat could be known
 	}
-	h := &k.b.handlers[r.h]
-	e := k.of[r.of]
-	if e != nil && e.once && r.came < e.till || e != nil && !e.once && k.b.now < e.till {
+	if e := k.repeats(r); e != nil {
+		if k.b.canStop && !r.proved {
+			return account.NotReady // nobody could be asked whether it is an edge node's
+		}
 		if r.id == e.id || slices.Contains(e.asked, r.id) {
 			return account.Stranger
 		}
@@ -84,7 +93,7 @@
 		r.ev.RepeatOf = e.id
 		return account.None
 	}
-	if h.uniqued && !k.add(r) {
+	if k.b.handlers[r.h].uniqued && !k.add(r) {
 		return account.KeepFull
 	}
 	return account.None
--- a/backend/link.go
+++ b/backend/link.go
@@ -191,7 +191,8 @@
 	return l.tag
 }
 
-// identify asks whether the processor knows a req, and tells whether there is anybody to ask. An interrupt finds no
+// identify asks whether the processor knows a req: the first of a connection, and each that would be answered from what is
+// remembered, since the processor is not asked to run it. It tells whether there is anybody to ask. An interrupt finds no
 // run and does nothing, but is rejected where no such req came to this machine. Guards what the module measures
 // and the places it gives against clients that are no edge nodes. Harm: a connection's first req waits for one answer.
 func (l *link) identify(r *req) bool {
@@ -218,7 +219,8 @@
 		r := l.strange[0]
 		l.strange = l.strange[1:]
 		if r.at == strange && l.b.reqs[r.id] == r {
-			r.edge.known = r.edge.known || tag < math.MaxUint64
+			r.proved = tag < math.MaxUint64
+			r.edge.known = r.edge.known || r.proved
 			l.b.arrived(r)
 		}
 	}
--- a/backend/req.go
+++ b/backend/req.go
@@ -51,6 +51,7 @@
 	ev      overload.Event // strange: its arrival
 	since   time.Duration  // and when that was
 	came    time.Duration  // when it came to the machine
+	proved  bool           // the processor knows it
 	unknown uint64         // the question for gauges whose answer proves that it is known if it is not rejected
 
 	guard   *guarded // nil where it may run twice
