Logs and counters of how a connection and the process end, of repeats, stalls and clock steps

Need: the records of the incident could not tell what happened to requests that no book holds. Now told: each phase of the end with what is owed then; each connection that ends meanwhile or leaves something, with its number, cause, open and half-read requests and the bytes thrown away unread; each command repeated on the processor's link, with id and cause; turns that come late; steps of the time of day; the reasons for which requests were closed, in the counters.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -29,6 +29,8 @@
 	timeoutMissing = 10 * time.Second       // of a handler's clients where none is told: as the module takes it
 	lingerShare    = 0.0625                 // of the connections, for those that are ended and wait for the peer's close
 	inShare        = 0.125                  // of the memory limit, for what is read and not yet handled of all
+	stallTold      = 100 * time.Millisecond // past the time at which the owner was to wake: longer than a busy machine keeps a thread
+	stepTold       = 20 * time.Millisecond  // between both clocks in a turn: slewing moves them by far less
 	startSpan      = time.Hour              // how far back a processor may have started: times stay positive
 )
 
@@ -200,9 +202,10 @@
 func (b *Backend) counters() Counters {
 	c := b.count
 	if b.book != nil { // Serve has begun
-		c.Reqs, c.Differs = b.book.Total(), b.book.Differences()
+		c.Reqs, c.Differs, c.Reasons = b.book.Total(), b.book.Differences(), reasonsOf(b.book)
 	}
 	c.ConnsRefused, c.Open, c.Owed, c.Broken = b.turned.Load(), b.box.Open.Load(), int64(b.owed), invariant.Broken()
+	c.Dropped = b.box.Dropped.Load()
 	return c
 }
 
@@ -291,10 +294,26 @@
 // clock takes the time of this turn, from both clocks at one moment.
 func (b *Backend) clock() time.Time {
 	t := time.Now()
+	before, wallBefore := b.now, b.wall
 	b.now, b.unix, b.wall = t.Sub(b.start), t.UnixMilli(), time.Duration(t.UnixNano())+clockWrong
+	if before > 0 {
+		b.tellClocks(b.now-b.next, b.wall-wallBefore-(b.now-before))
+	}
 	return t
 }
 
+// tellClocks tells of a turn that came far too late, and of a step of the time of day since the last look at the clocks.
+func (b *Backend) tellClocks(late, step time.Duration) {
+	if late >= stallTold {
+		b.count.Stalls++
+		b.note("stood still", "for", late)
+	}
+	if step.Abs() >= stepTold {
+		b.count.ClockSteps++
+		b.note("time of day stepped", "by", step)
+	}
+}
+
 // at has the owner wake by then.
 func (b *Backend) at(t time.Duration) { b.next = min(b.next, t) }
 
--- a/backend/counters.go
+++ b/backend/counters.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 
 	"frosthub/account"
 	"frosthub/internal/seldom"
@@ -17,16 +19,20 @@
 	Reports, Batches, Events, GaugesLate, Reloads  int64
 	Open, Owed                                     int64 // now: connections, reqs without their answer
 	Broken                                         int64 // invariants found broken
+	Dropped                                        int64 // bytes of connections that were thrown away unread
+	Stalls                                         int64 // turns of the owner that came later than they were due, by stallTold or more
+	ClockSteps                                     int64 // steps of the time of day
 
-	Reqs    account.Figures // over all lives that the figures file knows, of this process without one
-	Differs int64           // figures found that do not add up
+	Reqs    account.Figures  // over all lives that the figures file knows, of this process without one
+	Differs int64            // figures found that do not add up
+	Reasons map[string]int64 // of the reqs that are closed, over the same lives
 }
 
 // LogValue prints the counters in groups.
 func (c Counters) LogValue() slog.Value {
 	return slog.GroupValue(
 		slog.Group("conns", "taken", c.Conns, "no_room", c.ConnsRefused, "closed", c.ConnsClosed, "trimmed",
-			c.ConnsTrimmed, "bad", c.BadConns, "open", c.Open),
+			c.ConnsTrimmed, "bad", c.BadConns, "open", c.Open, "dropped_bytes", c.Dropped),
 		slog.Group("reqs", "taken", c.Reqs.Taken, "served", c.Reqs.Served, "refused", c.Reqs.Refused, "failed",
 			c.Reqs.Failed, "open", c.Reqs.Open, "differs", c.Differs, "owed", c.Owed, "bad", c.BadReqs, "checks", c.Checks, "unanswered", c.Unanswered),
 		slog.Group("runs", "begun", c.Begun, "stopped", c.Stopped, "ended", c.Ended, "repeated", c.Repeated, "taken", c.Taken, "handed", c.Handed),
@@ -35,7 +41,28 @@
 			"gauges_late", c.GaugesLate),
 		slog.Int64("reports", c.Reports), slog.Int64("batches", c.Batches), slog.Int64("events", c.Events),
 		slog.Int64("reloads", c.Reloads),
-		slog.Int64("broken", c.Broken))
+		slog.Int64("stalls", c.Stalls), slog.Int64("clock_steps", c.ClockSteps),
+		slog.Int64("broken", c.Broken), slog.Any("reasons", c.reasons()))
+}
+
+// reasons lists why reqs were closed, in order of their words.
+func (c Counters) reasons() slog.Value {
+	var all []slog.Attr
+	for _, why := range slices.Sorted(maps.Keys(c.Reasons)) {
+		all = append(all, slog.Int64(why, c.Reasons[why]))
+	}
+	return slog.GroupValue(all...)
+}
+
+// reasonsOf adds up the reasons of all rows of a book.
+func reasonsOf(book *account.Book) map[string]int64 {
+	sums := map[string]int64{}
+	for _, row := range book.Report(false).Rows {
+		for why, n := range row.Reasons {
+			sums[why] += n
+		}
+	}
+	return sums
 }
 
 // note logs a trouble, at most once a second for each kind, with the number left out since.
--- a/backend/door.go
+++ b/backend/door.go
@@ -47,6 +47,7 @@
 	b     *Backend
 	edges map[*edge]struct{}
 	parts int // bytes of reqs that are not yet whole, of all
+	conns int // taken so far: they are numbered
 
 	cgi, http map[string][]field // what a name means: as CGI has it, as HTTP has it in lower case
 }
@@ -79,6 +80,7 @@
 // edge is one connection of an edge node.
 type edge struct {
 	c      *conn.Conn
+	number int // of the connections taken, for log lines
 	p      protocol
 	open   map[uint16]*req
 	checks map[uint16]check
@@ -148,7 +150,8 @@
 
 func (f *door) take(c *conn.Conn, speaks func(e *edge) protocol) {
 	b := f.b
-	e := &edge{c: c, open: map[uint16]*req{}, since: b.now, used: b.now}
+	f.conns++
+	e := &edge{c: c, number: f.conns, open: map[uint16]*req{}, since: b.now, used: b.now}
 	e.p = speaks(e)
 	f.edges[e] = struct{}{}
 	b.count.Conns++
@@ -170,6 +173,7 @@
 	}
 	c.Closed = func(err error) {
 		delete(f.edges, e)
+		f.tellEnd(e, err)
 		e.p.drop()
 		f.weigh(e)
 		b.count.ConnsClosed++
@@ -191,6 +195,16 @@
 	}
 }
 
+// tellEnd logs how a connection ended where that may be asked for later: while the process ends, and where something was left.
+func (f *door) tellEnd(e *edge, why error) {
+	dropped, half := e.c.Dropped(), e.p.open()-len(e.open)-len(e.checks)
+	if f.b.phase == serving && dropped == 0 && !e.busy() && len(e.out) == 0 {
+		return
+	}
+	f.b.log.Info("connection ended", "conn", e.number, "why", why, "phase", f.b.phase, "open", len(e.open), "half_read", half,
+		"unsent_answers", len(e.out), "dropped_bytes", dropped)
+}
+
 // weigh takes over what a connection holds of reqs that are not whole.
 func (f *door) weigh(e *edge) {
 	held := e.p.held()
--- a/backend/link.go
+++ b/backend/link.go
@@ -405,7 +405,7 @@
 		case !r.sent:
 			l.begin(r)
 		case doubt && !r.seen && b.owes(r) && b.handlers[r.h].replayable && !r.stop:
-			b.count.Repeated++
+			l.tellRepeat(r, "begin", "it may run again")
 			l.begin(r)
 		case doubt && !r.seen:
 			if r.stop {
@@ -418,7 +418,7 @@
 		case r.stop:
 			l.interrupt(r)
 		case r.replied && doubt:
-			b.count.Repeated++
+			l.tellRepeat(r, "answer", "nothing was heard of the run since")
 			l.repeatAnswer(r)
 		}
 	}
@@ -433,6 +433,12 @@
 		b.ended(r, overload.Moot, account.NeverRan, 0, nil)
 		return
 	}
-	b.count.Repeated++
+	l.tellRepeat(r, "begin", "it is proved never to have run")
 	l.begin(r)
 }
+
+// tellRepeat counts a command that is sent again after a break, and says whose and why.
+func (l *link) tellRepeat(r *req, command, why string) {
+	l.b.count.Repeated++
+	l.b.note("command repeated", "command", command, "id", r.name, "handler", l.b.handlers[r.h].name, "why", why)
+}
--- a/backend/shutdown.go
+++ b/backend/shutdown.go
@@ -27,12 +27,25 @@
 	ended          // all is answered and every connection closed, or the stop is near: the process may end
 )
 
+// String is the phase's word in log lines.
+func (p phase) String() string {
+	return [...]string{"serving", "draining", "closing", "ending", "ended"}[p]
+}
+
+// enter takes the process into a later phase, and tells of it.
+func (b *Backend) enter(p phase) {
+	b.log.Info("phase", "to", p, "was", b.phase, "until_stop", b.stopAt-b.now, "owed", b.owed, "connections", len(b.door.edges),
+		"half_read_bytes", b.door.parts)
+	b.phase = p
+}
+
 // leave follows the notice to leave. A second one changes nothing.
 func (b *Backend) leave() {
 	if b.phase > serving {
 		return
 	}
-	b.phase, b.stopAt = draining, b.now+b.cfg.Stop
+	b.stopAt = b.now + b.cfg.Stop
+	b.enter(draining)
 	b.cluster.leave()
 	b.log.Info("leaving", "within", b.cfg.Stop, "owed", b.owed)
 	b.events = append(b.events, overload.Event{Kind: overload.Leave, Left: b.cfg.Stop - leaveBefore})
@@ -41,7 +54,7 @@
 // shutdown takes the end of the process as far as the time allows, and tells whether it may end.
 func (b *Backend) shutdown() bool {
 	if b.phase == draining && b.now >= b.stopAt-closeBefore {
-		b.phase = closing
+		b.enter(closing)
 		b.closeListeners()
 		b.link.admitAll() // no time to wait for the processor's word
 		for e := range b.door.edges {
@@ -50,7 +63,7 @@
 		b.decide()
 	}
 	if b.phase == closing && b.now >= b.stopAt-exitBefore {
-		b.phase = ending
+		b.enter(ending)
 	}
 	switch b.phase {
 	case serving:
@@ -64,10 +77,10 @@
 	kept := b.keeper.on() && b.phase < ending // results may still be on their way to the disk
 	switch {
 	case b.owed == 0 && len(b.door.edges) == 0 && b.listenersClosed() && b.box.Quiet() && !kept:
-		b.phase = ended
+		b.enter(ended)
 	case b.now >= b.stopAt-giveUp:
 		b.giveUpAll()
-		b.phase = ended
+		b.enter(ended)
 	}
 	return b.phase == ended
 }
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -74,6 +74,8 @@
 	flood  bool // closed as it sent too much
 	dead   bool // the descriptor may be closed: no more writes
 	told   bool // Closed was called
+
+	dropped int // bytes that came and were thrown away unread: what was in them got no answer
 }
 
 // Inbox is what waits for the owner: connections with news, and calls from elsewhere.
@@ -86,6 +88,8 @@
 
 	LingerMost int // connections that may linger; more closes the oldest
 
+	Dropped atomic.Int64 // bytes that were thrown away unread, over all connections
+
 	in        atomic.Int64 // and how many do
 	unseen    atomic.Int64 // connections accepted that no turn of the owner has ended with
 	seen      int64        // of these, in this turn
@@ -165,6 +169,8 @@
 			if err := c.Data(p); err != nil {
 				c.Abort(err)
 			}
+		} else {
+			c.drop(len(p))
 		}
 		c.mu.Lock()
 		c.in.Skip(len(p))
@@ -173,6 +179,21 @@
 	}
 }
 
+// drop counts bytes that are thrown away unread.
+func (c *Conn) drop(bytes int) {
+	c.mu.Lock()
+	c.dropped += bytes
+	c.mu.Unlock()
+	c.box.Dropped.Add(int64(bytes))
+}
+
+// Dropped is how many bytes of the connection were thrown away unread.
+func (c *Conn) Dropped() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dropped
+}
+
 // Write queues p to be sent by the next Flush.
 func (c *Conn) Write(p []byte) {
 	if c.why != nil || c.ending != nil {
@@ -413,6 +434,7 @@
 		c.mu.Lock()
 		if c.deaf {
 			c.mu.Unlock()
+			c.drop(n)
 			if err := nc.Reader().Skip(n); err != nil {
 				return err
 			}
