--- /dev/null
+++ b/internal/stand/caller.go
@@ -0,0 +1,181 @@
+package stand
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Caller is an edge node that keeps its connections and goes on asking on them until it sees their end, as one does that has not heard
+// of a drain yet. What it sees goes to a ledger.
+type Caller struct {
+	Node     string // whose requests they are, in the ledger
+	Address  string
+	Conns    int
+	Every    time.Duration // between requests of a connection, in the mean
+	Slots    int           // requests open on one, at most
+	Handlers []string
+	CostMS   float64
+	Body     string
+	Pieces   float64               // share of requests written in two pieces
+	Pause    time.Duration         // between those, at most
+	Excuse   func() (why string)   // whether an end seen now is no fault of the node; nil: never
+	Stamp    func() time.Time      // what X-Request-Start is taken from; nil: the time of day
+	NewID    func(r uint64) uint64 // of a random number; nil: odd numbers
+}
+
+// waitAnswers is how long a caller waits for what is open when it stops asking.
+const waitAnswers = 6 * time.Second
+
+// Run asks until the context is done, then waits for what is open.
+func (c Caller) Run(ctx context.Context, ledger *Ledger, seed uint64) {
+	var all sync.WaitGroup
+	for i := range c.Conns {
+		all.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(i)))
+			for ctx.Err() == nil {
+				conn, err := net.DialTimeout("tcp", c.Address, time.Second)
+				if err == nil {
+					(&call{Caller: c, ledger: ledger, conn: conn, open: map[uint16]uint64{}}).run(ctx, random)
+					continue
+				}
+				select { // a refused connection proves that nothing ran
+				case <-ctx.Done():
+				case <-time.After(5 * time.Millisecond):
+				}
+			}
+		})
+	}
+	all.Wait()
+}
+
+// call is one connection of a caller.
+type call struct {
+	Caller
+	ledger *Ledger
+	conn   net.Conn
+
+	mu   sync.Mutex
+	open map[uint16]uint64 // slots and the requests written whole there
+	over time.Time         // when its end was seen; zero before
+}
+
+func (c *call) run(ctx context.Context, random *rand.Rand) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = readFastCGI(bufio.NewReader(c.conn), c.answer)
+		c.end()
+	}()
+	defer func() { _ = c.conn.Close() }()
+	for slot := uint16(1); ; slot = slot%1000 + 1 {
+		select {
+		case <-ctx.Done():
+			c.waitForAnswers(ended)
+			return
+		case <-ended:
+			return
+		case <-time.After(time.Duration(random.ExpFloat64() * float64(c.Every))):
+		}
+		if c.full(slot) {
+			continue
+		}
+		if !c.write(slot, random) {
+			<-ended
+			return
+		}
+	}
+}
+
+func (c *call) full(slot uint16) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, used := c.open[slot]
+	return used || len(c.open) >= c.Slots
+}
+
+// write writes one request, and tells whether it was written whole.
+func (c *call) write(slot uint16, random *rand.Rand) bool {
+	now := time.Now
+	if c.Stamp != nil {
+		now = c.Stamp
+	}
+	id := random.Uint64() | 1
+	if c.NewID != nil {
+		id = c.NewID(id)
+	}
+	req := Req{ID: id, Handler: c.Handlers[random.IntN(len(c.Handlers))], Start: now().UnixMilli(), CostMS: c.CostMS, Body: c.Body}
+	text := req.FastCGI(slot)
+	if random.Float64() < c.Pieces {
+		cut := 1 + random.IntN(len(text)-1)
+		if _, err := io.WriteString(c.conn, text[:cut]); err != nil {
+			return false
+		}
+		time.Sleep(time.Duration(random.Float64() * float64(c.Pause)))
+		text = text[cut:]
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock() // its answer is not entered before it is
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		return false
+	}
+	c.ledger.Wrote(c.Node, id, req.Handler, time.Now())
+	if c.over.IsZero() {
+		c.open[slot] = id
+	} else { // written after the end, which was not seen yet: it crossed it
+		c.ledger.Ended(id, c.over, "")
+	}
+	return true
+}
+
+func (c *call) answer(a fcgiAnswer) {
+	c.mu.Lock()
+	id, ok := c.open[a.slot]
+	delete(c.open, a.slot)
+	c.mu.Unlock()
+	if !ok {
+		return // refused before it was whole
+	}
+	outcome := Failed
+	switch {
+	case a.bare && a.status == 2:
+		outcome = Refused
+	case !a.bare:
+		outcome = OutcomeOf(a.text, Result(id, c.Body))
+	}
+	c.ledger.Answered(id, outcome, time.Now())
+}
+
+// end enters what the end of the connection leaves without an answer.
+func (c *call) end() {
+	excuse := ""
+	if c.Excuse != nil {
+		excuse = c.Excuse()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = time.Now()
+	for _, id := range c.open {
+		c.ledger.Ended(id, c.over, excuse)
+	}
+}
+
+func (c *call) waitForAnswers(ended chan struct{}) {
+	for until := time.Now().Add(waitAnswers); time.Now().Before(until); {
+		c.mu.Lock()
+		open := len(c.open)
+		c.mu.Unlock()
+		if open == 0 {
+			return
+		}
+		select {
+		case <-ended:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/stand/ledger.go
@@ -0,0 +1,107 @@
+package stand
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// CrossingWindow is how long before the end of a connection a request may be written and still count as one that crossed it: the
+// protocol has its edge node send it again, once, on a new connection.
+const CrossingWindow = 50 * time.Millisecond
+
+// Exchange is one request as its edge node saw it, all times of one monotonic clock.
+type Exchange struct {
+	ID       uint64
+	Handler  string
+	Node     string
+	Written  time.Time // the last byte; zero: not written whole
+	Answered time.Time // the final answer was read whole; zero: none
+	Ended    time.Time // its connection ended without one; zero: it did not
+	Outcome  Outcome
+	Excused  string // why no answer is owed: a fault on the way, the edge node's own end, a node that was killed
+}
+
+// Ledger is what edge nodes saw of all their requests. It is the judge of the rule on lost requests: unlike a node's own book it
+// knows of requests that the node never entered anywhere.
+type Ledger struct {
+	mu  sync.Mutex
+	all map[uint64]*Exchange
+	bad []string // answers that nobody may give
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{all: map[uint64]*Exchange{}} }
+
+// Wrote enters a request whose last byte was written.
+func (l *Ledger) Wrote(node string, id uint64, handler string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all[id] = &Exchange{ID: id, Handler: handler, Node: node, Written: at, Outcome: Sent}
+}
+
+// Answered enters a final answer; a second one breaks the rule on duplicates.
+func (l *Ledger) Answered(id uint64, o Outcome, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.all[id]
+	switch {
+	case x == nil:
+		l.bad = append(l.bad, fmt.Sprintf("%016x: an answer to what was not asked", id))
+	case !x.Answered.IsZero():
+		l.bad = append(l.bad, fmt.Sprintf("%016x: a second answer, %s after %s", id, o, x.Outcome))
+	default:
+		x.Answered, x.Outcome = at, o
+	}
+}
+
+// Ended enters that a request's connection ended without its answer; excuse is empty where the node ended it.
+func (l *Ledger) Ended(id uint64, at time.Time, excuse string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if x := l.all[id]; x != nil && x.Answered.IsZero() {
+		x.Ended, x.Excused = at, excuse
+	}
+}
+
+// All gives a copy of each exchange.
+func (l *Ledger) All() []Exchange {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Exchange, 0, len(l.all))
+	for _, x := range l.all {
+		out = append(out, *x)
+	}
+	return out
+}
+
+// Lost tells, a line each, which requests broke the rules on lost requests and on duplicates: those whose connection the node ended
+// without an answer and not within the window of a crossing, and answers that nobody may give. What was answered wrongly counts as well.
+func (l *Ledger) Lost() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := append([]string(nil), l.bad...)
+	for _, x := range l.all {
+		switch {
+		case x.Outcome == Wrong:
+			out = append(out, fmt.Sprintf("%s %016x: a result that no run made", x.Node, x.ID))
+		case !x.Answered.IsZero() || x.Excused != "":
+		case x.Ended.IsZero():
+			out = append(out, fmt.Sprintf("%s %016x: still open", x.Node, x.ID))
+		case x.Ended.Sub(x.Written) > CrossingWindow:
+			out = append(out, fmt.Sprintf("%s %016x: unanswered, its connection ended %v after it was written", x.Node, x.ID,
+				x.Ended.Sub(x.Written).Round(time.Millisecond)))
+		}
+	}
+	return out
+}
+
+// Crossed is how many requests crossed the orderly end of their connection.
+func (l *Ledger) Crossed() (n int) {
+	for _, x := range l.All() {
+		if x.Answered.IsZero() && x.Excused == "" && !x.Ended.IsZero() && x.Ended.Sub(x.Written) <= CrossingWindow {
+			n++
+		}
+	}
+	return n
+}
