A connection ends only when nothing is owed or unread; drains count from the earliest notice

Lines: door.request gave its refusal in the closing keep=false, door.write made that the connection's last (lastOf, Deafen), conn.End dropped what was read but not handled, lastOf forgot half-read requests. Now conn.End permits nothing to be dropped: input is handed over and answered until nothing is owed and neither ring, netpoll nor system hold a byte; only then the sending side is closed. Half-read requests are refused on their slots before the stop. Only a broken stream is still not read on.

Now it runs from the earliest moment at which the notice can have come (lifecycle.Heartbeat), the controller hears of it first of all, and what counts is when a request was read. Stamps are believed as far as the node's own monotonic clock bears them out (arrival). The kill is taken as early as the platform's rules allow.

Checks changed: "a start more than a minute ahead is a bad field" goes, as it answered 400 to all where the node's clock was behind (TestBackIll found it); a start still has to be a number in its range.

--- /dev/null
+++ b/arrival/arrival.go
@@ -0,0 +1,96 @@
+// Package arrival works out how long a request lay unread from the time of day with which it was stamped. Both clocks, the stamping one and
+// the node's, may step, and a node that stands still reads late: a stamp is believed as far as the node's own monotonic clock bears it
+// out. It is plain state without I/O, clock or goroutine.
+package arrival
+
+import "time"
+
+const (
+	stepLeast  = 20 * time.Millisecond  // between both clocks of the node from turn to turn: slewing moves them by far less
+	stallLeast = 25 * time.Millisecond  // that a turn comes later than it was due: a usual turn takes far less
+	catchUp    = 2 * time.Second        // after a stall, in which what lay unread meanwhile is still read
+	readAtOnce = 100 * time.Millisecond // after a stall, in which most of that is read
+	promptly   = 250 * time.Millisecond // from a request's coming until it is read, by a node that does not stand still
+	doubtFor   = 500 * time.Millisecond // and doubtLeast requests: all stamped too early for that, so it is the clocks
+	doubtLeast = 10
+)
+
+// Clock judges stamps. The zero value trusts them.
+type Clock struct {
+	seen       bool
+	born       time.Duration // the first turn: nothing came before
+	mono, wall time.Duration // at the last turn
+	due        time.Duration // when the next turn is due
+	stallFrom  time.Duration // the last stall, with those shortly before it
+	stallTo    time.Duration
+
+	suspect   bool          // the clocks have disagreed: a stamp counts only within what the node knows of itself
+	oddSince  time.Duration // since when each request was stamped earlier than can be
+	oddNumber int
+}
+
+// Turn notes both clocks at the start of a turn of the node, and when the next is due at the latest. It gives by how much the wall clock
+// stepped against the monotonic one, and how much too late the turn came; 0 for little.
+func (c *Clock) Turn(mono, wall time.Duration) (step, stall time.Duration) {
+	if c.seen {
+		if d := (wall - c.wall) - (mono - c.mono); d.Abs() >= stepLeast {
+			step, c.suspect = d, true
+		}
+		if late := mono - c.due; late >= stallLeast {
+			stall = late
+			if c.mono-c.stallTo > catchUp || c.stallTo == 0 {
+				c.stallFrom = c.mono
+			}
+			c.stallTo = mono
+		}
+	}
+	if !c.seen {
+		c.seen, c.born = true, mono
+	}
+	c.mono, c.wall = mono, wall
+	return step, stall
+}
+
+// Due notes when the next turn is due at the latest.
+func (c *Clock) Due(mono time.Duration) { c.due = mono }
+
+// Suspect tells whether the clocks have disagreed.
+func (c *Clock) Suspect() bool { return c.suspect }
+
+// longest is how long a request that is read now may have lain unread, by what the node knows of itself.
+func (c *Clock) longest() time.Duration {
+	if c.stallTo > 0 && c.mono-c.stallTo <= catchUp {
+		return c.mono - c.stallFrom + promptly
+	}
+	return promptly
+}
+
+// Unread is how long a request that is read in the present turn lay unread, going by its stamp, a time of day. Where the clocks have
+// disagreed, or the stamp is older than the node, it is held within what can be; a stamp in the future then counts as one from the beginning of a stall that has just ended.
+func (c *Clock) Unread(stamp time.Duration) time.Duration {
+	age := c.wall - stamp
+	c.doubt(age)
+	switch {
+	case !c.suspect && age <= c.mono-c.born+promptly:
+		return max(0, age)
+	case age >= 0:
+		return min(age, c.longest())
+	case c.stallTo > 0 && c.mono-c.stallTo <= readAtOnce:
+		return c.mono - c.stallFrom
+	}
+	return 0
+}
+
+// doubt finds clocks that disagreed from the start: each request seems older than can be, for a while.
+func (c *Clock) doubt(age time.Duration) {
+	if age <= c.longest() {
+		c.oddNumber = 0
+		return
+	}
+	if c.oddNumber++; c.oddNumber == 1 {
+		c.oddSince = c.mono
+	}
+	if c.oddNumber >= doubtLeast && c.mono-c.oddSince >= doubtFor {
+		c.suspect = true
+	}
+}
--- a/backend/ajp.go
+++ b/backend/ajp.go
@@ -45,6 +45,8 @@
 func (x *jp) front() account.Front { return account.AJP }
 func (x *jp) held() int            { return x.p.Held() }
 
+func (x *jp) mid() bool { return x.p.Part() }
+
 func (x *jp) drop() {
 	if x.p.Part() {
 		x.p, x.part = ajp.NewServer(x.f.b.cfg.AJP.packet()), false
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -13,10 +13,12 @@
 	"time"
 
 	"frosthub/account"
+	"frosthub/arrival"
 	"frosthub/internal/conn"
 	"frosthub/internal/figures"
 	"frosthub/internal/invariant"
 	"frosthub/internal/seldom"
+	"frosthub/lifecycle"
 	"frosthub/overload"
 )
 
@@ -30,7 +32,6 @@
 	lingerShare    = 0.0625                 // of the connections, for those that are ended and wait for the peer's close
 	inShare        = 0.125                  // of the memory limit, for what is read and not yet handled of all
 	stallTold      = 100 * time.Millisecond // past the time at which the owner was to wake: longer than a busy machine keeps a thread
-	stepTold       = 20 * time.Millisecond  // between both clocks in a turn: slewing moves them by far less
 	startSpan      = time.Hour              // how far back a processor may have started: times stay positive
 )
 
@@ -50,8 +51,7 @@
 	owed      int             // reqs without their answer
 	events    []overload.Event
 	now       time.Duration
-	unix      int64         // the same moment in Unix milliseconds
-	wall      time.Duration // and as a span since the start of 1970
+	wall      time.Duration // the same moment as a span since the start of 1970
 	next      time.Duration
 
 	wake      time.Duration // when the module wants a Timer event; 0 not
@@ -62,8 +62,10 @@
 	cheap     bool
 	keep      time.Duration // idle connections are closed after this; 0 as usual
 	tidyAt    time.Duration
-	phase     phase
-	stopAt    time.Duration
+	process   lifecycle.Process
+	heartbeat lifecycle.Heartbeat
+	grace     time.Duration // after the notice, in which what is read may start
+	stamps    arrival.Clock
 	door      door
 	link      link
 	tier      nextTier
@@ -106,6 +108,8 @@
 		requested: make(chan func()), stopped: make(chan struct{})}
 	part, _ := cfg.Settings["backend"].(map[string]any)
 	b.canStop = part["halt"] != nil && part["halt"] != "off"
+	rules, _ := b.cfg.Settings["rules"].(map[string]any)
+	b.grace, _ = rules["drain_grace"].(time.Duration)
 	b.cfg.Settings = b.keeper.init(b)
 	b.fit()
 	list, _ := b.cfg.Settings["handlers"].([]any)
@@ -279,6 +283,7 @@
 		if again := b.flush(t); again > 0 {
 			b.at(b.now + again)
 		}
+		b.stamps.Due(b.next)
 		timer.Reset(max(0, b.next-time.Since(b.start)))
 	}
 }
@@ -294,24 +299,18 @@
 // clock takes the time of this turn, from both clocks at one moment.
 func (b *Backend) clock() time.Time {
 	t := time.Now()
-	before, wallBefore := b.now, b.wall
-	b.now, b.unix, b.wall = t.Sub(b.start), t.UnixMilli(), time.Duration(t.UnixNano())+clockWrong
-	if before > 0 {
-		b.tellClocks(b.now-b.next, b.wall-wallBefore-(b.now-before))
-	}
-	return t
-}
-
-// tellClocks tells of a turn that came far too late, and of a step of the time of day since the last look at the clocks.
-func (b *Backend) tellClocks(late, step time.Duration) {
-	if late >= stallTold {
-		b.count.Stalls++
-		b.note("stood still", "for", late)
-	}
-	if step.Abs() >= stepTold {
+	b.now, b.wall = t.Sub(b.start), time.Duration(t.UnixNano())+clockWrong
+	b.heartbeat.Beat(b.now)
+	step, stall := b.stamps.Turn(b.now, b.wall)
+	if step != 0 {
 		b.count.ClockSteps++
 		b.note("time of day stepped", "by", step)
 	}
+	if stall >= stallTold {
+		b.count.Stalls++
+		b.note("stood still", "for", stall)
+	}
+	return t
 }
 
 // at has the owner wake by then.
@@ -411,6 +410,7 @@
 	}
 	b.ctl = overload.New(b.cfg.Seed, s, started)
 	b.log.Info("processor is up", "cold", cold, "age", (b.now - started).Round(time.Millisecond))
+	b.tellLeave()
 	b.timerEvent() // the first reply has the health, the signal and the first wake
 }
 
--- a/backend/cluster.go
+++ b/backend/cluster.go
@@ -294,7 +294,7 @@
 			case x.Kind == processor.Complete && kind != 0:
 				c.box.Found(b.keeper.now(), p.Of, x.ID, kind, x.Body)
 			case x.Kind == processor.Used:
-				n.End(conn.ErrDone)
+				n.Quit(conn.ErrDone)
 			}
 		}).Feed)
 		n.Write(processor.AppendHello(nil, max(p.Notice, 1))) // 0 would say that its box has started anew
@@ -330,7 +330,7 @@
 				return
 			}
 			if l.address != address {
-				n.End(conn.ErrDone) // it has moved meanwhile
+				n.Quit(conn.ErrDone) // it has moved meanwhile
 				return
 			}
 			l.c = n
--- a/backend/config.go
+++ b/backend/config.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fastjson"
 
 	"frosthub/internal/settings"
+	"frosthub/lifecycle"
 )
 
 // Config is all that a backend is told.
@@ -47,7 +48,7 @@
 	socketsLeast = 32              // descriptors under which a backend can't serve
 )
 
-// Load reads the configuration that the environment names.
+// Load reads the configuration that the environment names. The time to stop is bounded by what the platform's rules allow.
 func Load() (Config, error) {
 	path := os.Getenv("PROXY_CONFIG")
 	if path == "" {
@@ -61,9 +62,21 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	c.Stop = lifecycle.KillAfter(c.Stop, c.longestTimeout())
 	return c, nil
 }
 
+// longestTimeout is the longest client timeout of all handlers, 0 if none is told.
+func (c *Config) longestTimeout() (longest time.Duration) {
+	list, _ := c.Settings["handlers"].([]any)
+	for _, v := range list {
+		m, _ := v.(map[string]any)
+		timeout, _ := m["client_timeout"].(time.Duration)
+		longest = max(longest, timeout)
+	}
+	return longest
+}
+
 // Parse reads a configuration from JSON.
 func Parse(text []byte) (Config, error) {
 	var in struct {
--- a/backend/counters.go
+++ b/backend/counters.go
@@ -7,6 +7,7 @@
 
 	"frosthub/account"
 	"frosthub/internal/seldom"
+	"frosthub/lifecycle"
 )
 
 // Counters tell what a backend has taken in, sent and answered since its start.
@@ -19,6 +20,7 @@
 	Reports, Batches, Events, GaugesLate, Reloads  int64
 	Open, Owed                                     int64 // now: connections, reqs without their answer
 	Broken                                         int64 // invariants found broken
+	Violations                                     int64 // acts that a rule forbade, found at the moment of the act
 	Dropped                                        int64 // bytes of connections that were thrown away unread
 	Stalls                                         int64 // turns of the owner that came later than they were due, by stallTold or more
 	ClockSteps                                     int64 // steps of the time of day
@@ -42,7 +44,7 @@
 		slog.Int64("reports", c.Reports), slog.Int64("batches", c.Batches), slog.Int64("events", c.Events),
 		slog.Int64("reloads", c.Reloads),
 		slog.Int64("stalls", c.Stalls), slog.Int64("clock_steps", c.ClockSteps),
-		slog.Int64("broken", c.Broken), slog.Any("reasons", c.reasons()))
+		slog.Int64("broken", c.Broken), slog.Int64("violations", c.Violations), slog.Any("reasons", c.reasons()))
 }
 
 // reasons lists why reqs were closed, in order of their words.
@@ -65,6 +67,12 @@
 	return sums
 }
 
+// violated counts and tells of an act that a rule forbids at this moment, and that was not done.
+func (b *Backend) violated(act string, r *req, why lifecycle.Verdict) {
+	b.count.Violations++
+	b.log.Error("rule kept at the last moment", "act", act, "id", r.name, "why", why)
+}
+
 // note logs a trouble, at most once a second for each kind, with the number left out since.
 func (b *Backend) note(kind string, args ...any) {
 	line := b.notes[kind]
--- a/backend/door.go
+++ b/backend/door.go
@@ -14,13 +14,14 @@
 	"frosthub/account"
 	"frosthub/internal/conn"
 	"frosthub/internal/lines"
+	"frosthub/lifecycle"
 	"frosthub/overload"
 )
 
 const (
 	sizeMost  = 2000.0                  // kilobytes booked for a req, by the protocol
 	costMost  = 10                      // client timeouts that a told cost may be: past it nothing could come of the req
-	aheadMost = time.Minute             // of this clock that a start may be: the same machine told it
+	startMost = math.MaxInt64 / 2 / 1e6 // milliseconds of a start that fit a span
 	trialWait = time.Second             // for a deep health check: edge nodes wait no longer
 	outMost   = 192 << 10               // bytes of answers that one edge node may leave: 32 of the longest are 140 KB
 	partShare = 0.15                    // of the memory limit, for reqs that are not yet whole
@@ -29,7 +30,8 @@
 	idleMost  = 3 * time.Second        // between reqs: edge nodes close idle connections after some seconds, some never
 	restIdle  = 300 * time.Millisecond // idle for so long a connection keeps no memory
 	openUsual = 32                     // answers of a connection on their way: more were a burst
-	badMost   = 8                      // bad reqs of a connection since the last good one that was run
+	badMost   = 8                      // bad reqs of a connection since the last good one that was run: then it is to end
+	badCut    = 2 * badMost            // and then nothing more is read of it: it does not let it come to an end
 )
 
 var (
@@ -37,6 +39,7 @@
 	errIdle    = errors.New("idle")
 	errLast    = errors.New("it was not to stay")
 	errLeaving = errors.New("the process ends")
+	errBad     = errors.New("it goes on with bad reqs")
 	errPart    = errors.New("a req does not come whole")
 	errParts   = errors.New("too much of reqs that are not whole")
 )
@@ -57,6 +60,7 @@
 	front() account.Front
 	feed(p []byte) error // what was read; it calls back the door's request, bad and others
 	held() int           // bytes of reqs that are not whole
+	mid() bool           // part of a message was read
 	open() int           // slots in use: reqs that are read, and those not yet answered
 	drop()               // forget what is being read and is not whole
 
@@ -90,7 +94,7 @@
 	sent   bool          // it has sent a whole req
 	known  bool          // one of its reqs was known to the processor
 	rested bool          // it keeps no memory
-	last   bool          // nothing more is read of it: it ends once what is open is answered
+	last   bool          // its stream is broken: nothing more is read of it, it ends once what is open is answered
 	parts  int           // its bytes among the door's
 	out    []answer      // final answers that are not yet handed to the system, in order
 }
@@ -108,6 +112,12 @@
 // busy tells whether it waits for an answer.
 func (e *edge) busy() bool { return len(e.open)+len(e.checks) > 0 }
 
+// standing is what its end has to wait for; what is unread the connection itself looks at last.
+func (e *edge) standing() lifecycle.Connection {
+	return lifecycle.Connection{Open: len(e.open) + len(e.checks), HalfRead: e.p.open() > len(e.open)+len(e.checks) || e.p.mid(),
+		Broken: e.last}
+}
+
 // check is a deep health check that waits for the processor.
 type check struct {
 	tag  uint64
@@ -157,6 +167,7 @@
 	b.count.Conns++
 	c.Most = outMost
 	c.Left = func() { f.left(e) }
+	c.Owes = func() bool { return lifecycle.End(e.standing()) != lifecycle.Allowed }
 	c.Data = func(p []byte) error {
 		if e.last {
 			return nil
@@ -198,10 +209,10 @@
 // tellEnd logs how a connection ended where that may be asked for later: while the process ends, and where something was left.
 func (f *door) tellEnd(e *edge, why error) {
 	dropped, half := e.c.Dropped(), e.p.open()-len(e.open)-len(e.checks)
-	if f.b.phase == serving && dropped == 0 && !e.busy() && len(e.out) == 0 {
+	if f.b.process.Phase() == lifecycle.Serving && dropped == 0 && !e.busy() && len(e.out) == 0 {
 		return
 	}
-	f.b.log.Info("connection ended", "conn", e.number, "why", why, "phase", f.b.phase, "open", len(e.open), "half_read", half,
+	f.b.log.Info("connection ended", "conn", e.number, "why", why, "phase", f.b.process.Phase(), "open", len(e.open), "half_read", half,
 		"unsent_answers", len(e.out), "dropped_bytes", dropped)
 }
 
@@ -258,7 +269,7 @@
 		e.c.Abort(why)
 		return
 	}
-	f.endOf(e, why)
+	e.c.End(why) // once what is open is answered
 }
 
 // lastOf has nothing more be read of a connection.
@@ -269,13 +280,6 @@
 	f.weigh(e)
 }
 
-// endOf ends a connection of which nothing more is read once all that is open is answered.
-func (f *door) endOf(e *edge, why error) {
-	if e.last && !e.busy() {
-		e.c.End(why)
-	}
-}
-
 // bad answers a req that can't be taken. Who goes on with such is closed: it would begin again at once.
 func (f *door) bad(e *edge, slot uint16, keep bool, t account.Ticket, id uint64, reason account.Reason, why string) {
 	f.b.count.BadReqs++
@@ -290,6 +294,17 @@
 	}
 	f.answer(e, slot, keep && e.bad < badMost, &reply{status: status})
 	f.owe(e, t, id, reason)
+	if e.bad >= badCut && !e.last {
+		f.cut(e, errBad)
+	}
+}
+
+// refusePart answers a req that is half read: nothing of it will run.
+func (f *door) refusePart(e *edge, slot uint16, keep bool) {
+	t := f.nameless(e)
+	f.answer(e, slot, keep, &reply{status: 503})
+	f.owe(e, t, 0, account.NotReady)
+	f.weigh(e)
 }
 
 // nameless takes a req of which neither id nor handler is known.
@@ -439,8 +454,7 @@
 		why = "start or memory is missing"
 	case !b.keeper.named(a):
 		why = "no key, and it must not run twice"
-	case ev.Rank == 1 || ev.Size == sizeMost || ev.Hint > costMost*b.handlers[r.h].timeout ||
-		a.started > float64(b.unix+aheadMost.Milliseconds()):
+	case ev.Rank == 1 || ev.Size == sizeMost || ev.Hint > costMost*b.handlers[r.h].timeout || a.started > startMost:
 		why = "a field is out of its range"
 	case b.reqs[r.id] != nil:
 		why = "an id that is in use"
@@ -450,13 +464,14 @@
 		f.bad(e, r.slot, r.keep, r.ticket, r.id, reason, why)
 		return
 	}
-	unread := max(0, time.Duration(b.unix-int64(a.started))*time.Millisecond)
-	if b.ctl == nil || b.phase >= closing || unread > b.handlers[r.h].timeout || r.waits > 0 && unread > r.waits { // nobody waits; so old a start would tell of a standstill
+	unread := b.stamps.Unread(time.Duration(a.started * float64(time.Millisecond)))
+	refuses := b.ctl == nil || b.process.Take() != lifecycle.Allowed
+	if refuses || unread > b.handlers[r.h].timeout || r.waits > 0 && unread > r.waits { // nobody waits; so old a start would tell of a standstill
 		reason = account.Aged
-		if b.ctl == nil || b.phase >= closing {
+		if refuses {
 			reason = account.NotReady
 		}
-		f.answer(e, r.slot, r.keep && b.phase < closing, &reply{status: 503})
+		f.answer(e, r.slot, r.keep, &reply{status: 503})
 		f.owe(e, r.ticket, r.id, reason)
 		return
 	}
@@ -554,10 +569,9 @@
 func (f *door) write(e *edge, keep bool) {
 	e.used = f.b.now
 	e.c.Write(f.b.scratch)
-	if !keep && !e.last {
-		f.lastOf(e)
+	if !keep || e.last {
+		e.c.End(errLast)
 	}
-	f.endOf(e, errLast)
 }
 
 // most is how many connections there may be before the longest idle ones go.
@@ -578,6 +592,9 @@
 			f.bad(e, slot, keep, f.nameless(e), 0, account.NotWhole, errPart.Error())
 			f.weigh(e)
 		case !e.idle():
+		case e.c.Ending() && b.now-e.used >= keepFor+wholeMost: // half a message keeps it from its end
+			f.cut(e, errPart)
+		case e.c.Ending():
 		case b.now-e.used >= keepFor:
 			b.count.ConnsTrimmed++
 			e.c.End(errIdle)
@@ -621,12 +638,23 @@
 	}
 }
 
-// rest ends the connections on which nothing is open; with all also those on which a req is half read.
+// rest has all connections end, each as soon as nothing is owed on it; with all, what is half read is refused, and what only holds part
+// of a message is no longer waited for.
 func (f *door) rest(all bool) {
 	for e := range f.edges {
-		if all && !e.busy() || e.idle() {
-			f.lastOf(e)
-			e.c.End(errLeaving)
+		if all {
+			f.refuseParts(e)
+			if !e.busy() && e.p.mid() {
+				f.lastOf(e)
+			}
 		}
+		e.c.End(errLeaving)
+	}
+}
+
+// refuseParts refuses all reqs of a connection that are half read.
+func (f *door) refuseParts(e *edge) {
+	for slot, keep, any := e.p.late(f.b.now); any; slot, keep, any = e.p.late(f.b.now) {
+		f.refusePart(e, slot, keep)
 	}
 }
--- a/backend/fcgi.go
+++ b/backend/fcgi.go
@@ -20,6 +20,7 @@
 func (x *fcgi) front() account.Front { return account.FastCGI }
 func (x *fcgi) held() int            { return x.p.Held() }
 func (x *fcgi) open() int            { return x.p.Open() }
+func (x *fcgi) mid() bool            { return x.p.Mid() }
 func (x *fcgi) drop()                { x.p.Drop() }
 
 func (x *fcgi) late(by time.Duration) (slot uint16, keep, any bool) {
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -16,6 +16,7 @@
 	"frosthub/internal/invariant"
 	"frosthub/internal/keeplog"
 	"frosthub/keep"
+	"frosthub/lifecycle"
 	"frosthub/overload"
 	"frosthub/takeover"
 )
@@ -564,8 +565,8 @@
 	b := k.b
 	for r := range k.writing {
 		due := r.guard.due
-		if b.phase > serving {
-			due = min(due, b.stopAt-leaveBefore)
+		if b.process.Phase() > lifecycle.Serving {
+			due = min(due, b.process.AnswerBy())
 		}
 		if b.now < due {
 			b.at(due)
--- a/backend/link.go
+++ b/backend/link.go
@@ -91,7 +91,7 @@
 	switch {
 	case address != l.address: // it has moved meanwhile
 		if err == nil {
-			c.End(conn.ErrDone)
+			c.Quit(conn.ErrDone)
 		}
 	case err != nil:
 		b.note("processor not reached", "why", err)
@@ -127,7 +127,7 @@
 		l.moved, l.finish = true, l.b.now+linkFinish
 	}
 	if c := l.next; c != nil {
-		c.End(conn.ErrDone) // its end lets the old link go on
+		c.Quit(conn.ErrDone) // its end lets the old link go on
 	}
 }
 
@@ -138,7 +138,7 @@
 	l.admitAll()
 	l.open(c)
 	if old != nil {
-		old.End(conn.ErrDone)
+		old.Quit(conn.ErrDone)
 	}
 }
 
--- a/backend/peers.go
+++ b/backend/peers.go
@@ -201,7 +201,7 @@
 	left := max(1, (k.till - b.now).Milliseconds())
 	f := ajp.Forward{Path: "/invoke/" + b.handlers[r.h].name, Secret: b.cfg.NextAJP.Secret, Body: r.ask, Fields: []ajp.Field{
 		{Name: "X-Request-Id", Value: r.name},
-		{Name: "X-Request-Start", Value: strconv.FormatInt(b.unix, 10)},
+		{Name: "X-Request-Start", Value: strconv.FormatInt(b.wall.Milliseconds(), 10)},
 		{Name: "X-Timeout-Ms", Value: strconv.FormatInt(left, 10)},
 		{Name: "X-Caller", Value: strconv.Itoa(r.ev.Caller)},
 		{Name: "X-Memory-Kb", Value: strconv.FormatFloat(r.ev.Size, 'f', -1, 64)},
@@ -286,7 +286,7 @@
 	c := w.c
 	w.c = nil
 	p.wires--
-	c.End(conn.ErrDone)
+	c.Quit(conn.ErrDone)
 }
 
 // closed follows the end of a connection. A call of which no byte had left, or that waited for a CPong, never ran; of
--- a/backend/req.go
+++ b/backend/req.go
@@ -6,6 +6,7 @@
 
 	"frosthub/account"
 	"frosthub/internal/invariant"
+	"frosthub/lifecycle"
 	"frosthub/overload"
 )
 
@@ -49,7 +50,7 @@
 	unserved   bool // its last call failed
 
 	ev      overload.Event // strange: its arrival
-	since   time.Duration  // and when that was
+	since   time.Duration  // when it was read whole
 	came    time.Duration  // when it came to the machine
 	proved  bool           // the processor knows it
 	unknown uint64         // the question for gauges whose answer proves that it is known if it is not rejected
@@ -100,6 +101,11 @@
 		if !invariant.Check(r.at == held && b.wanted(r), "what is run is held") {
 			return
 		}
+		if v := b.process.Start(r.since); v != lifecycle.Allowed && !r.taken {
+			b.violated("start", r, v)
+			b.ended(r, overload.Moot, account.NotReady, 0, nil)
+			return
+		}
 		if r.guard != nil {
 			b.keeper.note(r)
 			return
@@ -119,7 +125,7 @@
 			b.unowed(r)
 			return
 		}
-		if b.phase > serving && b.cluster.handsOver(r) {
+		if b.process.Phase() > lifecycle.Serving && b.cluster.handsOver(r) {
 			return
 		}
 		if invariant.Check(r.at == held, "what is shed never ran") {
--- a/backend/shutdown.go
+++ b/backend/shutdown.go
@@ -5,84 +5,77 @@
 	"time"
 
 	"frosthub/account"
+	"frosthub/internal/invariant"
+	"frosthub/lifecycle"
 	"frosthub/overload"
 )
 
-const (
-	closeBefore = 300 * time.Millisecond // of the stop: time for what crosses the closing, and for peers to close too
-	leaveBefore = 150 * time.Millisecond // of the stop: what the module takes for it, so that its last answers get out
-	exitBefore  = 100 * time.Millisecond // of the stop: time to end the process
-	giveUp      = 20 * time.Millisecond  // of the stop: to end it whatever is left
-	lookLeaving = 10 * time.Millisecond  // between looks at what may be ended in between
-)
-
-// phase is how far the end of the process has come. It only grows; the process ends from ended alone.
-type phase uint8
+// lookLeaving is between looks at what may be ended while the process ends.
+const lookLeaving = 10 * time.Millisecond
 
-const (
-	serving  phase = iota
-	draining       // the notice came: reqs are taken on, the module says which of them still run
-	closing        // nothing more is accepted, what is read is refused at the door, connections at rest are ended
-	ending         // all that is not owed an answer is ended, also what is half read
-	ended          // all is answered and every connection closed, or the stop is near: the process may end
-)
+// leave follows the notice to leave. A second one changes nothing.
+func (b *Backend) leave() {
+	if !b.process.Notify(b.heartbeat.Earliest(), b.grace, b.cfg.Stop) {
+		return
+	}
+	b.log.Info("leaving", "within", b.process.Kill()-b.now, "owed", b.owed, "heard_late_by_at_most", b.now-b.process.Notified())
+	b.tellPhase()
+	b.cluster.leave()
+	b.tellLeave()
+}
 
-// String is the phase's word in log lines.
-func (p phase) String() string {
-	return [...]string{"serving", "draining", "closing", "ending", "ended"}[p]
+// tellLeave has the overload controller hear of the notice; where it does not exist yet it hears of it first of all.
+func (b *Backend) tellLeave() {
+	if b.ctl != nil && b.process.Phase() != lifecycle.Serving {
+		b.events = append(b.events, overload.Event{Kind: overload.Leave, Unread: b.now - b.process.Notified(),
+			Left: b.process.AnswerBy() - b.now})
+	}
 }
 
-// enter takes the process into a later phase, and tells of it.
-func (b *Backend) enter(p phase) {
-	b.log.Info("phase", "to", p, "was", b.phase, "until_stop", b.stopAt-b.now, "owed", b.owed, "connections", len(b.door.edges),
+// tellPhase logs how far the end of the process has come.
+func (b *Backend) tellPhase() {
+	b.log.Info("phase", "to", b.process.Phase(), "until_kill", b.process.Kill()-b.now, "owed", b.owed, "connections", len(b.door.edges),
 		"half_read_bytes", b.door.parts)
-	b.phase = p
 }
 
-// leave follows the notice to leave. A second one changes nothing.
-func (b *Backend) leave() {
-	if b.phase > serving {
-		return
-	}
-	b.stopAt = b.now + b.cfg.Stop
-	b.enter(draining)
-	b.cluster.leave()
-	b.log.Info("leaving", "within", b.cfg.Stop, "owed", b.owed)
-	b.events = append(b.events, overload.Event{Kind: overload.Leave, Left: b.cfg.Stop - leaveBefore})
+// workLeft is what the end of the process has to wait for.
+func (b *Backend) workLeft() lifecycle.Work {
+	return lifecycle.Work{Owed: b.owed, Connections: len(b.door.edges), Accepting: !b.listenersClosed(), Unhandled: !b.box.Quiet(),
+		Unsaved: b.keeper.on() && b.process.Phase() < lifecycle.Ending}
 }
 
 // shutdown takes the end of the process as far as the time allows, and tells whether it may end.
 func (b *Backend) shutdown() bool {
-	if b.phase == draining && b.now >= b.stopAt-closeBefore {
-		b.enter(closing)
-		b.closeListeners()
-		b.link.admitAll() // no time to wait for the processor's word
-		for e := range b.door.edges {
-			b.door.untried(e, math.MaxInt64)
+	for b.process.Advance(b.now, b.workLeft()) {
+		b.tellPhase()
+		switch b.process.Phase() {
+		case lifecycle.Closing:
+			b.closing()
+		case lifecycle.Ended:
+			b.giveUpAll()
+			return true
 		}
-		b.decide()
-	}
-	if b.phase == closing && b.now >= b.stopAt-exitBefore {
-		b.enter(ending)
 	}
-	switch b.phase {
-	case serving:
+	switch b.process.Phase() {
+	case lifecycle.Serving:
 		return false
-	case draining:
-		b.at(b.stopAt - closeBefore)
+	case lifecycle.Draining:
+		b.at(b.process.ClosesAt())
 		return false
 	}
-	b.door.rest(b.phase == ending)
+	b.door.rest(b.process.Phase() == lifecycle.Ending)
 	b.at(b.now + lookLeaving)
-	kept := b.keeper.on() && b.phase < ending // results may still be on their way to the disk
-	switch {
-	case b.owed == 0 && len(b.door.edges) == 0 && b.listenersClosed() && b.box.Quiet() && !kept:
-		b.enter(ended)
-	case b.now >= b.stopAt-giveUp:
-		b.giveUpAll()
-		b.enter(ended)
+	return false
+}
+
+// closing accepts nothing more, and waits no longer for what others may say.
+func (b *Backend) closing() {
+	b.closeListeners()
+	b.link.admitAll()
+	for e := range b.door.edges {
+		b.door.untried(e, math.MaxInt64)
 	}
-	return b.phase == ended
+	b.decide()
 }
 
 // giveUpAll answers what is still owed: nothing that was read goes without a final answer.
@@ -98,6 +91,7 @@
 			b.answered(r)
 		}
 	}
+	invariant.Check(b.owed == 0, "a process that exits owes nothing")
 }
 
 func (b *Backend) closeListeners() {
--- a/backend/tier.go
+++ b/backend/tier.go
@@ -127,7 +127,7 @@
 	t.dialing--
 	if address != t.address { // replaced meanwhile
 		if err == nil {
-			c.End(conn.ErrDone)
+			c.Quit(conn.ErrDone)
 		}
 		t.dialMore()
 		return
@@ -237,7 +237,7 @@
 	if len(w.calls) > 0 {
 		w.c.Abort(conn.ErrDone)
 	} else {
-		w.c.End(conn.ErrDone)
+		w.c.Quit(conn.ErrDone)
 	}
 }
 
@@ -296,7 +296,7 @@
 	w.c.Write(t.b.scratch)
 	if len(w.calls) == 0 {
 		t.forget(w)
-		w.c.End(conn.ErrDone)
+		w.c.Quit(conn.ErrDone)
 	}
 }
 
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -3,10 +3,12 @@
 // owner, from Turn. What the owner writes goes out once a turn, by Flush, which never waits: netpoll's own
 // flush waits for the peer, so the descriptor is written to directly and what it does not take stays here.
 //
-// A connection ends in one orderly way, End: nothing more is taken, what was written is sent, the sending side is closed,
-// what still comes is read and dropped until the peer has closed too or a bound is reached, then the descriptor is
-// closed. A close over unread bytes would reset the connection and take answers with it that the peer has not read yet.
-// Abort closes at once; it is for those who break the protocol, and where the loss of what is in hand is meant.
+// A connection ends in one orderly way, End. A peer that has seen no end goes on sending, so the wish to end changes nothing for what
+// comes: it is read and handed over, and answers are written, until nothing is owed (Owes) and nothing that has come is unread. Then the
+// sending side is closed; what still comes has crossed that, and is dropped, until the peer has closed too or a bound is reached; then the
+// descriptor is closed. A close over unread bytes would reset the connection and take answers with it that the peer has not read yet.
+// Quit ends a connection that was made here and whose far side has nothing to expect. Abort closes at once; it is for those who break
+// the protocol, and where the loss of what is in hand is meant.
 package conn
 
 import (
@@ -24,6 +26,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"frosthub/internal/seldom"
 )
@@ -53,6 +56,7 @@
 	Data   func(p []byte) error // each stretch that was read; an error closes the connection
 	Closed func(err error)      // once, after the last Data
 	Left   func()               // during a Flush in which bytes were handed to the system
+	Owes   func() bool          // whether something that was read is not answered yet, or half read; nil: never
 	Most   int                  // bytes that may wait for a peer that takes none; more closes the connection
 
 	box     *Inbox
@@ -61,8 +65,8 @@
 	out     Ring
 	sent    int
 	dirty   bool
-	ending  error     // why it is being ended, once all is sent
-	until   time.Time // its sending side is closed, it lingers until then
+	ending  error     // why it is to end, once nothing is owed
+	until   time.Time // its sending side is closed, it lingers until then; zero before
 	stalled time.Time // since when the peer took nothing, zero if it does
 	why     error     // why the owner closed it
 
@@ -98,6 +102,7 @@
 	spare     []any
 	dirty     []*Conn
 	stalled   []*Conn
+	ending    []*Conn // that are to end, and whose sending side is open
 	lingering []*Conn // in order
 }
 
@@ -165,7 +170,7 @@
 			return
 		}
 		c.mu.Unlock()
-		if c.why == nil && c.ending == nil && c.Data != nil {
+		if c.why == nil && !c.finished() && c.Data != nil && !c.isDeaf() {
 			if err := c.Data(p); err != nil {
 				c.Abort(err)
 			}
@@ -196,7 +201,7 @@
 
 // Write queues p to be sent by the next Flush.
 func (c *Conn) Write(p []byte) {
-	if c.why != nil || c.ending != nil {
+	if c.why != nil || c.finished() {
 		return
 	}
 	c.out.Write(p)
@@ -249,14 +254,61 @@
 	c.mu.Unlock()
 }
 
-// End ends the connection in the orderly way. Nothing of it is read or written any more; Closed follows.
+func (c *Conn) isDeaf() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.deaf
+}
+
+// End has the connection end in the orderly way, as soon as nothing is owed on it and nothing that has come is unread; Closed follows.
 func (c *Conn) End(why error) {
 	if c.why != nil || c.ending != nil {
 		return
 	}
 	c.ending = why
+	c.box.ending = append(c.box.ending, c)
+}
+
+// Quit ends a connection whose far side has nothing to expect: what comes is dropped, what was written is sent.
+func (c *Conn) Quit(why error) {
 	c.Deafen()
-	c.soil()
+	c.End(why)
+}
+
+// finished tells whether the sending side was closed here.
+func (c *Conn) finished() bool { return !c.until.IsZero() }
+
+// Unread tells whether bytes have come that were not handed over: in the ring, with netpoll, or with the system.
+func (c *Conn) Unread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead {
+		return false
+	}
+	fds := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLIN}}
+	if n, err := unix.Poll(fds, 0); err == nil && n > 0 && fds[0].Revents&unix.POLLIN != 0 {
+		return true // first: what is read meanwhile is found behind
+	}
+	return c.nc.Reader().Len() > 0 || c.in.Len() > 0
+}
+
+// finish closes the sending side if nothing stands against it, and tells whether it did or need not.
+func (c *Conn) finish(now time.Time) bool {
+	if c.why != nil || c.finished() {
+		return true
+	}
+	if c.out.Len() > 0 || c.Owes != nil && c.Owes() || !c.isDeaf() && c.Unread() {
+		return false
+	}
+	c.mu.Lock()
+	if !c.dead {
+		_ = syscall.Shutdown(c.fd, syscall.SHUT_WR) // where it fails the peer has gone, and its end follows
+	}
+	c.deaf = true
+	c.mu.Unlock()
+	c.until = now.Add(lingerFor)
+	c.box.lingering = append(c.box.lingering, c)
+	return true
 }
 
 // Ending tells whether the connection was ended or aborted here.
@@ -290,7 +342,11 @@
 	if all > b.Most {
 		worst.Abort(ErrTooBig)
 	}
+	waits := b.finish(now)
 	again := b.linger(now)
+	if waits && (again == 0 || again > retryAfter) {
+		again = retryAfter
+	}
 	b.unseen.Add(-b.seen)
 	b.seen = 0
 	if len(keep) > 0 {
@@ -299,6 +355,18 @@
 	return again
 }
 
+// finish closes the sending side of the connections that are to end and may, and tells whether one waits for what only a look can tell.
+func (b *Inbox) finish(now time.Time) (waits bool) {
+	b.ending = slices.DeleteFunc(b.ending, func(c *Conn) bool {
+		if c.finish(now) {
+			return true
+		}
+		waits = waits || c.Owes == nil || !c.Owes()
+		return false
+	})
+	return waits
+}
+
 // linger closes the connections that have lingered for long enough, and gives the time to the next.
 func (b *Inbox) linger(now time.Time) time.Duration {
 	n := 0
@@ -375,15 +443,6 @@
 			return false
 		}
 	}
-	if c.ending != nil && c.why == nil && c.until.IsZero() {
-		c.mu.Lock()
-		if !c.dead {
-			_ = syscall.Shutdown(c.fd, syscall.SHUT_WR) // where it fails the peer has gone, and its end follows
-		}
-		c.mu.Unlock()
-		c.until = now.Add(lingerFor)
-		c.box.lingering = append(c.box.lingering, c)
-	}
 	return false
 }
 
--- a/internal/fastcgi/fastcgi.go
+++ b/internal/fastcgi/fastcgi.go
@@ -97,6 +97,12 @@
 // Held is the number of bytes of reqs that are not yet whole.
 func (p *Parser) Held() int { return p.held }
 
+// Mid tells whether part of a record was read that may begin a req or belongs to one that is not whole.
+func (p *Parser) Mid() bool {
+	s := p.open[p.slot]
+	return p.have > 0 && (p.have < headerLen || p.kind == beginRequest || s != nil && !s.whole)
+}
+
 // Done frees a slot: its answer is written.
 func (p *Parser) Done(slot uint16) {
 	if s := p.open[slot]; s != nil {
--- a/internal/stand/caller.go
+++ b/internal/stand/caller.go
@@ -28,6 +28,9 @@
 	NewID    func(r uint64) uint64 // of a random number; nil: odd numbers
 }
 
+// lastRecord is the length of the record that ends a request, with its padding.
+const lastRecord = 8 + 3
+
 // waitAnswers is how long a caller waits for what is open when it stops asking.
 const waitAnswers = 6 * time.Second
 
@@ -111,7 +114,7 @@
 	req := Req{ID: id, Handler: c.Handlers[random.IntN(len(c.Handlers))], Start: now().UnixMilli(), CostMS: c.CostMS, Body: c.Body}
 	text := req.FastCGI(slot)
 	if random.Float64() < c.Pieces {
-		cut := 1 + random.IntN(len(text)-1)
+		cut := 1 + random.IntN(len(text)-lastRecord) // what follows the last record's head is padding: an answer may come before it
 		if _, err := io.WriteString(c.conn, text[:cut]); err != nil {
 			return false
 		}
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -239,7 +239,7 @@
 				c.watch(now, r)
 			}
 		case e.Kind == Leave:
-			c.leave(now, e.Left)
+			c.leave(now, e.Unread, e.Left)
 		case r == nil: // late news of a req already ended
 		case e.Kind == Ended:
 			c.ended(now, r, e)
@@ -489,7 +489,7 @@
 	switch {
 	case c.dueNow(now, r):
 		c.giveUp(r)
-	case c.left > 0 && r.arrived > c.left+c.grace, c.stuck, c.mem+key > memHold*c.memory:
+	case c.left > 0 && now > c.left+c.grace, c.stuck, c.mem+key > memHold*c.memory:
 		c.refuse(r, c.maxRetry)
 	case h.base == 0 && float64(c.n[held]) > startHold*c.cores,
 		end > finish && (c.n[held] > 1 || c.n[running] > 0):
@@ -843,8 +843,10 @@
 
 // ---- leaving ----
 
-func (c *Controller) leave(now, left time.Duration) {
-	c.left, c.stop = now, now+left-look-2*c.batch
+// leave follows the notice, which came so long ago at most. The grace runs from then, and what is read after it is not run, whenever it
+// says that it came: that is told by another clock.
+func (c *Controller) leave(now, ago, left time.Duration) {
+	c.left, c.stop = now-ago, now+left-look-2*c.batch
 	for _, r := range c.all {
 		r.due = min(r.due, c.stop)
 		c.watch(now, r)
--- a/overload/types.go
+++ b/overload/types.go
@@ -47,7 +47,7 @@
 	Write    bool          // Arrived: changes something
 	Again    bool          // Arrived: known to be a further try
 	Caller   int           // Arrived: the edge node's number
-	Unread   time.Duration // Arrived: how long it lay unread
+	Unread   time.Duration // Arrived: how long it lay unread; Leave: how long ago it was said, at most
 	RepeatOf uint64        // Arrived: the remembered req that this one repeats, 0 none
 
 	Outcome Outcome       // Ended, CallEnded, Gone
