Audit: permissions in one place, checked at the act; passing errors of the system end nothing

Found by it and mended, each of the same class or met by the same faults: a write that fails for want of buffers aborted the connection with its answers; a second shortage of descriptors had netpoll (whose listener can be detached once only) accept without a pause and start a goroutine each time; a configuration that the disk could not give at SIGHUP was never tried again; a start ended where the system had no descriptor for a moment; a log that nobody reads held the owner, one whose reader went ended the process.

--- a/arrival/arrival.go
+++ b/arrival/arrival.go
@@ -12,13 +12,12 @@
 	readAtOnce = 100 * time.Millisecond // after a stall, in which most of that is read
 	promptly   = 250 * time.Millisecond // from a request's coming until it is read, by a node that does not stand still
 	doubtFor   = 500 * time.Millisecond // and doubtLeast requests: all stamped too early for that, so it is the clocks
-	doubtLeast = 10
+	doubtLeast = 4
 )
 
 // Clock judges stamps. The zero value trusts them.
 type Clock struct {
 	seen       bool
-	born       time.Duration // the first turn: nothing came before
 	mono, wall time.Duration // at the last turn
 	due        time.Duration // when the next turn is due
 	stallFrom  time.Duration // the last stall, with those shortly before it
@@ -44,10 +43,7 @@
 			c.stallTo = mono
 		}
 	}
-	if !c.seen {
-		c.seen, c.born = true, mono
-	}
-	c.mono, c.wall = mono, wall
+	c.seen, c.mono, c.wall = true, mono, wall
 	return step, stall
 }
 
@@ -66,12 +62,12 @@
 }
 
 // Unread is how long a request that is read in the present turn lay unread, going by its stamp, a time of day. Where the clocks have
-// disagreed, or the stamp is older than the node, it is held within what can be; a stamp in the future then counts as one from the beginning of a stall that has just ended.
+// disagreed it is held within what can be; a stamp in the future then counts as one from the beginning of a stall that has just ended.
 func (c *Clock) Unread(stamp time.Duration) time.Duration {
 	age := c.wall - stamp
 	c.doubt(age)
 	switch {
-	case !c.suspect && age <= c.mono-c.born+promptly:
+	case !c.suspect:
 		return max(0, age)
 	case age >= 0:
 		return min(age, c.longest())
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"math"
@@ -32,6 +33,8 @@
 	lingerShare    = 0.0625                 // of the connections, for those that are ended and wait for the peer's close
 	inShare        = 0.125                  // of the memory limit, for what is read and not yet handled of all
 	stallTold      = 100 * time.Millisecond // past the time at which the owner was to wake: longer than a busy machine keeps a thread
+	listenFor      = 5 * time.Second        // tries to listen at the start: a process before this one may be ending
+	listenAgain    = 50 * time.Millisecond  // between them
 	startSpan      = time.Hour              // how far back a processor may have started: times stay positive
 )
 
@@ -172,7 +175,7 @@
 	b.count.Reloads++
 	if cfg.Control != b.cfg.Control {
 		if err := b.lease.open(cfg.Control); err != nil {
-			b.note("control plane not reached", "why", err)
+			b.note("control plane not reached", "why", err) // a bad address
 		}
 	}
 	b.cfg.Processor, b.cfg.NextTier, b.cfg.Control, b.cfg.Stop = cfg.Processor, cfg.NextTier, cfg.Control, cfg.Stop
@@ -231,15 +234,15 @@
 	b.keeper.open()
 	defer b.keeper.close()
 	if b.cluster.on() {
-		if err := b.listen(b.cfg.Cluster.Listen, b.cluster.take); err != nil {
+		if err := b.listen(ctx, b.cfg.Cluster.Listen, b.cluster.take); err != nil {
 			return err
 		}
 	}
-	if err := b.listen(b.cfg.Listen, b.door.accept(b.door.fastCGI)); err != nil {
+	if err := b.listen(ctx, b.cfg.Listen, b.door.accept(b.door.fastCGI)); err != nil {
 		return err
 	}
 	if at := b.cfg.AJP.Listen; at != "" {
-		if err := b.listen(at, b.door.accept(b.door.ajp)); err != nil {
+		if err := b.listen(ctx, at, b.door.accept(b.door.ajp)); err != nil {
 			return err
 		}
 		b.log.Info("serving AJP", "listen", at)
@@ -414,11 +417,37 @@
 	b.timerEvent() // the first reply has the health, the signal and the first wake
 }
 
-// listen accepts connections at an address.
-func (b *Backend) listen(address string, accept func(c *conn.Conn)) error {
-	ln, err := b.box.Listen(address, b.door.room(), accept, func() { b.turned.Add(1) })
-	if err == nil {
-		b.ln = append(b.ln, ln)
+// listen accepts connections at an address. The system may have none to give for a while, or an earlier process still holds it.
+func (b *Backend) listen(ctx context.Context, address string, accept func(c *conn.Conn)) error {
+	for end := time.Now().Add(listenFor); ; {
+		ln, err := b.box.Listen(address, b.door.room(), accept, b.notAccepted)
+		if err == nil {
+			b.ln = append(b.ln, ln)
+			return nil
+		}
+		if !passing(err) || ctx.Err() != nil || time.Now().After(end) {
+			return err
+		}
+		b.note("not listening yet", "listen", address, "why", err)
+		time.Sleep(listenAgain)
+	}
+}
+
+// notAccepted follows a connection for which there was no room (nil), or that the system could not give.
+func (b *Backend) notAccepted(err error) {
+	b.turned.Add(1)
+	if err != nil {
+		b.box.Post(func() { b.note("not accepted", "why", err) })
+	}
+}
+
+// passing tells whether an error of the system may pass by itself.
+func passing(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN, syscall.EINTR, syscall.EIO,
+		syscall.EADDRINUSE} {
+		if errors.Is(err, e) {
+			return true
+		}
 	}
-	return err
+	return false
 }
--- a/backend/door.go
+++ b/backend/door.go
@@ -193,6 +193,9 @@
 			if r.at != strange {
 				f.unanswered(r.id, err)
 			}
+			if e.c.Finished() && !e.last {
+				b.violated("end a connection", r, lifecycle.RequestOpen)
+			}
 			b.gone(r, overload.BrokenOff)
 		}
 		for _, a := range e.out {
@@ -553,6 +556,10 @@
 func (f *door) refused(r *req) { f.final(r, account.NotReady, &reply{status: 503}) }
 
 func (f *door) final(r *req, why account.Reason, a *reply) {
+	if v := lifecycle.Answer(r.edge != nil && r.edge.open[r.slot] != r, r.edge != nil); v != lifecycle.Allowed {
+		f.b.violated("answer", r, v)
+		return
+	}
 	delete(r.edge.open, r.slot)
 	f.answer(r.edge, r.slot, r.keep, a)
 	f.owe(r.edge, r.ticket, r.id, why)
--- a/backend/lease.go
+++ b/backend/lease.go
@@ -12,25 +12,22 @@
 
 // lease reports to the control plane. It hears nothing back, so its silence changes nothing.
 type lease struct {
-	c    net.Conn
-	next time.Duration
-	said bool // ready
-	buf  []byte
+	address string
+	c       net.Conn // nil while the system gives none, or without a control plane
+	next    time.Duration
+	said    bool // ready
+	buf     []byte
 }
 
-// open reports to that address from now on; one that can't be used changes nothing.
+// open reports to that address from now on; one that can't be an address changes nothing.
 func (l *lease) open(address string) error {
-	if address == "" {
-		l.close()
-		l.c = nil
-		return nil
-	}
-	c, err := net.Dial("udp", address)
-	if err != nil {
-		return err
+	if address != "" {
+		if _, err := net.ResolveUDPAddr("udp", address); err != nil {
+			return err
+		}
 	}
 	l.close()
-	l.c, l.next = c, 0
+	l.address, l.c, l.next = address, nil, 0
 	return nil
 }
 
@@ -42,7 +39,20 @@
 
 // report tells the control plane, in time and at once what has changed.
 func (l *lease) report(b *Backend) {
+	if l.address == "" {
+		return
+	}
+	if l.c == nil && b.now >= l.next {
+		c, err := net.Dial("udp", l.address)
+		if err != nil { // the system has none to give for a while
+			b.note("control plane not reached", "why", err)
+			l.next = b.now + reportEvery
+		} else {
+			l.c = c
+		}
+	}
 	if l.c == nil {
+		b.at(l.next)
 		return
 	}
 	if ready := b.good && b.ctl != nil; b.now >= l.next || ready != l.said {
--- a/backend/link.go
+++ b/backend/link.go
@@ -10,6 +10,7 @@
 	"frosthub/account"
 	"frosthub/internal/conn"
 	"frosthub/internal/processor"
+	"frosthub/lifecycle"
 	"frosthub/overload"
 )
 
@@ -404,9 +405,8 @@
 			b.ended(r, overload.Moot, account.NeverRan, 0, nil)
 		case !r.sent:
 			l.begin(r)
-		case doubt && !r.seen && b.owes(r) && b.handlers[r.h].replayable && !r.stop:
-			l.tellRepeat(r, "begin", "it may run again")
-			l.begin(r)
+		case doubt && !r.seen && !r.stop && lifecycle.Repeat(l.beginOf(r, false)) == lifecycle.Allowed:
+			l.beginAgain(r, false, "it may run again")
 		case doubt && !r.seen:
 			if r.stop {
 				l.interrupt(r)
@@ -429,11 +429,25 @@
 	b := l.b
 	l.probes--
 	r.probe, r.probeAt, r.stop = 0, 0, false
-	if !b.owes(r) {
+	if lifecycle.Repeat(l.beginOf(r, true)) == lifecycle.NobodyWaits {
 		b.ended(r, overload.Moot, account.NeverRan, 0, nil)
 		return
 	}
-	l.tellRepeat(r, "begin", "it is proved never to have run")
+	l.beginAgain(r, true, "it is proved never to have run")
+}
+
+// beginOf is the begin of a req as what may be sent again; neverRan: the first is proved to have been lost.
+func (l *link) beginOf(r *req, neverRan bool) lifecycle.Command {
+	return lifecycle.Command{Repeatable: l.b.handlers[r.h].replayable, NeverRan: neverRan, Wanted: l.b.owes(r)}
+}
+
+// beginAgain sends a begin again, if it may be.
+func (l *link) beginAgain(r *req, neverRan bool, why string) {
+	if v := lifecycle.Repeat(l.beginOf(r, neverRan)); v != lifecycle.Allowed {
+		l.b.violated("begin again", r, v)
+		return
+	}
+	l.tellRepeat(r, "begin", why)
 	l.begin(r)
 }
 
--- a/backend/main.go
+++ b/backend/main.go
@@ -2,12 +2,22 @@
 
 import (
 	"context"
+	"errors"
+	"io/fs"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"frosthub/internal/conn"
+	"frosthub/internal/logline"
+)
+
+const (
+	lastLines   = 50 * time.Millisecond  // for the log when the process ends: it may be held, and the kill is near
+	rereadEvery = 200 * time.Millisecond // between tries to read a configuration that the disk did not give
+	rereadFor   = 30 * time.Second       // and for how long after SIGHUP
 )
 
 // Main runs one backend as a process: configuration from the environment, log on standard error, SIGTERM to
@@ -27,7 +37,10 @@
 		return err
 	}
 	cfg.Limits.Apply()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	signal.Ignore(syscall.SIGPIPE) // who reads the log may go: that ends nothing
+	lines := logline.New(os.Stderr)
+	defer lines.Flush(lastLines)
+	log := slog.New(slog.NewTextHandler(lines, nil))
 	conn.Prepare(log)
 	b := New(cfg, log)
 	end, err := up(b)
@@ -38,31 +51,41 @@
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
+		var again <-chan time.Time // the configuration could not be read, and is to be
+		var until time.Time
 		for {
 			select {
 			case s := <-asked:
-				b.heed(s, set)
+				if s == syscall.SIGUSR1 {
+					b.log.Info("counters", "counters", b.Counters())
+					continue
+				}
+				until = time.Now().Add(rereadFor)
+			case <-again:
 			case <-done:
 				return
 			}
+			again = nil
+			if b.reread(set) && time.Now().Before(until) {
+				again = time.After(rereadEvery)
+			}
 		}
 	}()
 	return b.Serve(ctx)
 }
 
-// heed follows a signal. A configuration that can't be used changes nothing.
-func (b *Backend) heed(s os.Signal, set func(*Config) error) {
-	if s == syscall.SIGUSR1 {
-		b.log.Info("counters", "counters", b.Counters())
-		return
-	}
+// reread reads the configuration anew. One that can't be used changes nothing; it tells whether the file could not be read at all, as
+// where a disk fails for a while: the addresses of before may be gone for good, so it is tried again.
+func (b *Backend) reread(set func(*Config) error) (unread bool) {
 	cfg, err := Load()
 	if err == nil {
 		err = set(&cfg)
 	}
-	if err != nil {
-		b.log.Error("configuration not taken", "why", err)
-		return
+	if err == nil {
+		b.Reload(cfg)
+		return false
 	}
-	b.Reload(cfg)
+	b.log.Error("configuration not taken", "why", err)
+	var disk *fs.PathError
+	return errors.As(err, &disk)
 }
--- a/backend/req.go
+++ b/backend/req.go
@@ -48,6 +48,7 @@
 	replied    bool
 	call       *call
 	unserved   bool // its last call failed
+	callDoubt  bool // and may have had its effect
 
 	ev      overload.Event // strange: its arrival
 	since   time.Duration  // when it was read whole
@@ -160,7 +161,7 @@
 		}
 	case overload.Call:
 		if r.at == asking {
-			b.tier.invoke(r, a.For)
+			b.call(r, a.For)
 		}
 	default:
 		invariant.Check(false, "an action that this protocol has no message for")
--- a/backend/tier.go
+++ b/backend/tier.go
@@ -8,6 +8,7 @@
 
 	"frosthub/internal/conn"
 	"frosthub/internal/nexttier"
+	"frosthub/lifecycle"
 	"frosthub/overload"
 	"frosthub/route"
 )
@@ -258,10 +259,22 @@
 	return k
 }
 
+// call makes the call of a req, if it may be made: one that was made before and may have had its effect is not made again where that does harm.
+func (b *Backend) call(r *req, after time.Duration) {
+	again := lifecycle.Command{Repeatable: b.handlers[r.h].replayable, NeverRan: !r.callDoubt, Wanted: b.wanted(r)}
+	if v := lifecycle.Repeat(again); v != lifecycle.Allowed {
+		b.violated("call", r, v)
+		b.events = append(b.events, overload.Event{Kind: overload.CallEnded, ID: r.id, Outcome: overload.NoConnection})
+		return
+	}
+	b.tier.invoke(r, after)
+}
+
 // callEnded tells the module of the end of a call.
 func (b *Backend) callEnded(k *call, how overload.Outcome) {
 	r := k.r
 	r.unserved = how != overload.OK
+	r.callDoubt = how != overload.OK && how != overload.Full && how != overload.Moot && how != overload.NoConnection
 	if how == overload.OK {
 		b.count.CallsOK++
 		r.at = running
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -13,7 +13,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -162,15 +161,19 @@
 			c.told = c.told || end
 			c.mu.Unlock()
 			if end {
-				if c.why == nil {
-					c.why = cmp.Or(c.ending, ErrPeer)
+				switch {
+				case c.why != nil:
+				case c.Finished():
+					c.why = c.ending
+				default:
+					c.why = ErrPeer
 				}
 				c.Closed(c.why)
 			}
 			return
 		}
 		c.mu.Unlock()
-		if c.why == nil && !c.finished() && c.Data != nil && !c.isDeaf() {
+		if c.why == nil && !c.Finished() && c.Data != nil && !c.isDeaf() {
 			if err := c.Data(p); err != nil {
 				c.Abort(err)
 			}
@@ -201,7 +204,7 @@
 
 // Write queues p to be sent by the next Flush.
 func (c *Conn) Write(p []byte) {
-	if c.why != nil || c.finished() {
+	if c.why != nil || c.Finished() {
 		return
 	}
 	c.out.Write(p)
@@ -275,8 +278,8 @@
 	c.End(why)
 }
 
-// finished tells whether the sending side was closed here.
-func (c *Conn) finished() bool { return !c.until.IsZero() }
+// Finished tells whether the sending side was closed here.
+func (c *Conn) Finished() bool { return !c.until.IsZero() }
 
 // Unread tells whether bytes have come that were not handed over: in the ring, with netpoll, or with the system.
 func (c *Conn) Unread() bool {
@@ -294,7 +297,7 @@
 
 // finish closes the sending side if nothing stands against it, and tells whether it did or need not.
 func (c *Conn) finish(now time.Time) bool {
-	if c.why != nil || c.finished() {
+	if c.why != nil || c.Finished() {
 		return true
 	}
 	if c.out.Len() > 0 || c.Owes != nil && c.Owes() || !c.isDeaf() && c.Unread() {
@@ -425,7 +428,7 @@
 			c.sent += n
 			c.stalled = time.Time{}
 		case errors.Is(err, syscall.EINTR):
-		case errors.Is(err, syscall.EAGAIN):
+		case !lost(err): // the peer takes nothing, or the system has no room for a while
 			if c.stalled.IsZero() {
 				c.stalled = now
 			}
@@ -438,7 +441,7 @@
 				return false
 			}
 			return true
-		default:
+		case lost(err):
 			c.Abort(err)
 			return false
 		}
@@ -446,6 +449,15 @@
 	return false
 }
 
+// lostBy are the errors of a write after which a connection can't go on. Others may pass: a system that is out of buffers or memory for a
+// moment takes no answers with it.
+var lostBy = []error{syscall.EPIPE, syscall.ECONNRESET, syscall.ECONNABORTED, syscall.ENOTCONN, syscall.EBADF, syscall.ENOTSOCK,
+	syscall.EINVAL, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.EDESTADDRREQ}
+
+func lost(err error) bool {
+	return slices.ContainsFunc(lostBy, func(e error) bool { return errors.Is(err, e) })
+}
+
 // ---- netpoll's side ----
 
 // Prepare sets netpoll up, for the whole process and before any connection is made. Its own lines, as of descriptors
--- a/internal/conn/listener.go
+++ b/internal/conn/listener.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	makeRoom = 50 * time.Millisecond // for the owner to free a place, where it has not yet seen all that was accepted: a turn
-	settle   = 20 * time.Millisecond // from when netpoll asks for the descriptor until it surely polls it: some microseconds
+	makeRoom    = 50 * time.Millisecond // for the owner to free a place, where it has not yet seen all that was accepted: a turn
+	acceptPause = 5 * time.Millisecond  // after the system gave no connection, as without descriptors: what is read waits as long
+	settle      = 20 * time.Millisecond // from when netpoll asks for the descriptor until it surely polls it: some microseconds
 )
 
 // Listener accepts for an inbox. It is its own and not netpoll's, whose Close closes the descriptor's number twice: in
@@ -24,7 +25,7 @@
 	box    *Inbox
 	addr   net.Addr
 	most   int64
-	turned func()
+	turned func(err error)
 
 	mu     sync.Mutex
 	file   *os.File // nil once it is closed
@@ -35,8 +36,9 @@
 }
 
 // Listen accepts connections at the address, at most so many at a time with those dialled; accept is called on
-// the owner for each before its first Data, turned anywhere for each that found no room.
-func (b *Inbox) Listen(address string, most int, accept func(*Conn), turned func()) (*Listener, error) {
+// the owner for each before its first Data, turned anywhere for each that found no room (nil), and for each time that the
+// system gave none (its error).
+func (b *Inbox) Listen(address string, most int, accept func(*Conn), turned func(err error)) (*Listener, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -87,8 +89,13 @@
 // Accept takes a connection and closes it at once where there is no room, so that the queue never stands.
 func (l *Listener) Accept() (net.Conn, error) {
 	fd, peer, err := l.next()
-	if fd < 0 || err != nil {
-		return nil, err
+	if err != nil { // netpoll's own way out works once a listener only, then it would ask again without a pause
+		l.turned(err)
+		time.Sleep(acceptPause)
+		return nil, nil
+	}
+	if fd < 0 {
+		return nil, nil
 	}
 	// The owner ends idle connections as it sees new ones. Many that come between two turns would take all places before
 	// it does, and who comes next would find none.
@@ -96,7 +103,7 @@
 		time.Sleep(makeRoom / 500)
 	}
 	if l.box.Open.Load() >= l.most {
-		l.turned()
+		l.turned(nil)
 		_ = syscall.Close(fd)
 		l.posted()
 		return nil, nil
