--- a/backend/backend.go
+++ b/backend/backend.go
@@ -19,6 +19,7 @@
 	"frosthub/internal/figures"
 	"frosthub/internal/invariant"
 	"frosthub/internal/seldom"
+	"frosthub/internal/sysfault"
 	"frosthub/lifecycle"
 	"frosthub/overload"
 )
@@ -302,7 +303,7 @@
 // clock takes the time of this turn, from both clocks at one moment.
 func (b *Backend) clock() time.Time {
 	t := time.Now()
-	b.now, b.wall = t.Sub(b.start), time.Duration(t.UnixNano())+clockWrong
+	b.now, b.wall = t.Sub(b.start), time.Duration(t.UnixNano())+sysfault.Clock()
 	b.heartbeat.Beat(b.now)
 	step, stall := b.stamps.Turn(b.now, b.wall)
 	if step != 0 {
--- a/backend/config.go
+++ b/backend/config.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fastjson"
 
 	"frosthub/internal/settings"
+	"frosthub/internal/sysfault"
 	"frosthub/lifecycle"
 )
 
@@ -55,6 +56,9 @@
 		return Config{}, errors.New("PROXY_CONFIG is not set: it names the configuration file")
 	}
 	text, err := os.ReadFile(path)
+	if fault := sysfault.Of(sysfault.ReadFile); fault != nil {
+		err = &os.PathError{Op: "read", Path: path, Err: fault}
+	}
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
--- a/backend/lease.go
+++ b/backend/lease.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"frosthub/internal/control"
+	"frosthub/internal/sysfault"
 )
 
 // Fifteen in the 3 s after which a silent backend leaves the list: datagrams are lost, and cost little.
@@ -58,7 +59,10 @@
 	if ready := b.good && b.ctl != nil; b.now >= l.next || ready != l.said {
 		l.next, l.said = b.now+reportEvery, ready
 		l.buf = control.AppendLease(l.buf[:0], b.cfg.Name, ready)
-		_, err := l.c.Write(l.buf)
+		err := sysfault.Of(sysfault.Send)
+		if err == nil {
+			_, err = l.c.Write(l.buf)
+		}
 		if err != nil { // the answer to an earlier one, to which nobody listened: this one was not sent
 			_, err = l.c.Write(l.buf)
 		}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -28,6 +28,7 @@
 	"golang.org/x/sys/unix"
 
 	"frosthub/internal/seldom"
+	"frosthub/internal/sysfault"
 )
 
 const (
@@ -420,7 +421,10 @@
 			c.mu.Unlock()
 			return false
 		}
-		n, err := syscall.Write(c.fd, c.out.Peek())
+		n, err := 0, sysfault.Of(sysfault.Write)
+		if err == nil {
+			n, err = syscall.Write(c.fd, c.out.Peek())
+		}
 		c.mu.Unlock()
 		switch {
 		case n > 0:
@@ -556,7 +560,11 @@
 func (b *Inbox) Dial(address string, done func(*Conn, error)) {
 	go func() {
 		start := time.Now()
-		nc, err := netpoll.DialConnection("tcp", address, dialFor)
+		var nc netpoll.Connection
+		err := sysfault.Of(sysfault.Connect)
+		if err == nil {
+			nc, err = netpoll.DialConnection("tcp", address, dialFor)
+		}
 		if err != nil {
 			if time.Since(start) >= dialFor {
 				err = ErrSilent
--- a/internal/conn/listener.go
+++ b/internal/conn/listener.go
@@ -11,6 +11,8 @@
 
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
+
+	"frosthub/internal/sysfault"
 )
 
 const (
@@ -119,6 +121,9 @@
 	if l.file == nil {
 		return -1, nil, nil
 	}
+	if err := sysfault.Of(sysfault.Accept); err != nil {
+		return -1, nil, err
+	}
 	fd, sa, err := syscall.Accept4(l.fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 	if l.ending && !l.waits() {
 		l.shut()
--- a/internal/stand/box.go
+++ b/internal/stand/box.go
@@ -32,7 +32,9 @@
 	ProcCores   int           // of the processor, as the settings tell them; 2 if 0
 	Plain       bool          // an earlier version, which knows no commands
 	Gate        string        // read as its configuration in place of the file that is written; empty: that
-	Clock       time.Duration // by how much its time of day is wrong, where it is built with the tag powerloss
+	Clock       time.Duration // by how much its time of day is wrong, where it is built with the tag powerloss or faults
+	GraceMS     int           // 300 if 0
+	MemoryMB    int           // 192 if 0
 
 	cmd *exec.Cmd
 	log lockedBuffer
@@ -93,14 +95,14 @@
 		"familyInfo": m{"cores": cmp.Or(b.ProcCores, 2), "downstream": "tier", "halt": "discard", "keyKb": 10, "memoryKb": 100000, "runFactor": 8,
 			"senders": 2, "shareForUs": 800_000, "ownStats": []string{"cpu_busy", "runnable", "mem_used", "sockets"},
 			"signal": "allowance", "tellsGone": true},
-		"invariants": m{"answerSlackUs": 80_000, "drainGraceUs": 300_000, "fallMultiple": 8},
+		"invariants": m{"answerSlackUs": 80_000, "drainGraceUs": 1000 * cmp.Or(b.GraceMS, 300), "fallMultiple": 8},
 		"limits":     m{"maxRetryAfterUs": 1_000_000, "retryAfter": true}}
 	cores := b.Cores
 	if cores == 0 {
 		cores = 1
 	}
 	return json.Marshal(m{"name": cmp.Or(b.Name, "n1"), "listen": b.Listen, "processor": b.Processor, "backend": b.NextTier,
-		"seed": "8c1f30d27a5be964", "stop_ms": b.StopMS, "limits": m{"cores": cores, "memory_mb": 192, "sockets": cmp.Or(b.Sockets, 1024)},
+		"seed": "8c1f30d27a5be964", "stop_ms": b.StopMS, "limits": m{"cores": cores, "memory_mb": cmp.Or(b.MemoryMB, 192), "sockets": cmp.Or(b.Sockets, 1024)},
 		"settings": settings})
 }
 
@@ -127,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	config := filepath.Join(b.Dir, "config.json")
+	config := b.configPath()
 	if err := os.WriteFile(config, text, 0o600); err != nil {
 		return err
 	}
@@ -143,11 +145,40 @@
 		args = append(args, "--conf", conf)
 	}
 	b.cmd = exec.Command(b.Binary, args...)
-	b.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+cmp.Or(b.Gate, config), "FROSTHUB_CLOCK="+b.Clock.String())
+	b.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+cmp.Or(b.Gate, config), "FROSTHUB_CLOCK="+b.Clock.String(), "FROSTHUB_FAULTS="+b.faultPath())
 	b.cmd.Stderr = &b.log
 	return b.cmd.Start()
 }
 
+func (b *Box) configPath() string { return filepath.Join(b.Dir, "config.json") }
+func (b *Box) faultPath() string  { return filepath.Join(b.Dir, "faults") }
+
+// Faults tells a box that is built with the tag faults what fails from now on: lines such as "clock 2s" and "write ENOBUFS".
+func (b *Box) Faults(lines ...string) error {
+	return replaceFile(b.faultPath(), strings.Join(lines, "\n"))
+}
+
+// Move has it read its configuration anew, as it is now.
+func (b *Box) Move() error {
+	text, err := b.Config()
+	if err == nil {
+		err = replaceFile(b.configPath(), string(text))
+	}
+	if err == nil {
+		err = b.Signal(syscall.SIGHUP)
+	}
+	return err
+}
+
+// replaceFile replaces a file as a whole.
+func replaceFile(path, text string) error {
+	next := path + ".next"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, path)
+}
+
 // Reload has it read its operator's file anew, as it is now.
 func (b *Box) Reload() error {
 	if err := os.WriteFile(filepath.Join(b.Dir, "frosthub.conf"), []byte(b.Conf), 0o600); err != nil {
@@ -174,6 +205,9 @@
 	return nil
 }
 
+// Wait waits for its end.
+func (b *Box) Wait() error { return b.cmd.Wait() }
+
 // Drain gives it the notice to leave and waits for its end.
 func (b *Box) Drain() error {
 	if err := b.Signal(syscall.SIGTERM); err != nil {
--- a/internal/stand/caller.go
+++ b/internal/stand/caller.go
@@ -15,17 +15,16 @@
 type Caller struct {
 	Node     string // whose requests they are, in the ledger
 	Address  string
+	Via      *Proxy // on the way there; nil: none
 	Conns    int
 	Every    time.Duration // between requests of a connection, in the mean
 	Slots    int           // requests open on one, at most
 	Handlers []string
 	CostMS   float64
 	Body     string
-	Pieces   float64               // share of requests written in two pieces
-	Pause    time.Duration         // between those, at most
-	Excuse   func() (why string)   // whether an end seen now is no fault of the node; nil: never
-	Stamp    func() time.Time      // what X-Request-Start is taken from; nil: the time of day
-	NewID    func(r uint64) uint64 // of a random number; nil: odd numbers
+	Pieces   float64                      // share of requests written in two pieces
+	Pause    time.Duration                // between those, at most
+	Excuse   func(began time.Time) string // why an end of a connection begun then is no fault of the node, empty if it is; nil: it is
 }
 
 // lastRecord is the length of the record that ends a request, with its padding.
@@ -41,9 +40,13 @@
 		all.Go(func() {
 			random := rand.New(rand.NewPCG(seed, uint64(i)))
 			for ctx.Err() == nil {
-				conn, err := net.DialTimeout("tcp", c.Address, time.Second)
+				address := c.Address
+				if c.Via != nil {
+					address = c.Via.Address()
+				}
+				conn, err := net.DialTimeout("tcp", address, time.Second)
 				if err == nil {
-					(&call{Caller: c, ledger: ledger, conn: conn, open: map[uint16]uint64{}}).run(ctx, random)
+					(&call{Caller: c, ledger: ledger, conn: conn, open: map[uint16]written{}, began: time.Now()}).run(ctx, random)
 					continue
 				}
 				select { // a refused connection proves that nothing ran
@@ -63,8 +66,17 @@
 	conn   net.Conn
 
 	mu   sync.Mutex
-	open map[uint16]uint64 // slots and the requests written whole there
-	over time.Time         // when its end was seen; zero before
+	open map[uint16]written // those written whole, by slot
+	over time.Time          // when its end was seen; zero before
+
+	began time.Time
+	sent  int64 // bytes, with the request that is being written
+}
+
+// written is a request on a connection.
+type written struct {
+	id    uint64
+	bytes int64 // of the connection, up to its end
 }
 
 func (c *call) run(ctx context.Context, random *rand.Rand) {
@@ -103,16 +115,10 @@
 
 // write writes one request, and tells whether it was written whole.
 func (c *call) write(slot uint16, random *rand.Rand) bool {
-	now := time.Now
-	if c.Stamp != nil {
-		now = c.Stamp
-	}
 	id := random.Uint64() | 1
-	if c.NewID != nil {
-		id = c.NewID(id)
-	}
-	req := Req{ID: id, Handler: c.Handlers[random.IntN(len(c.Handlers))], Start: now().UnixMilli(), CostMS: c.CostMS, Body: c.Body}
+	req := Req{ID: id, Handler: c.Handlers[random.IntN(len(c.Handlers))], Start: time.Now().UnixMilli(), CostMS: c.CostMS, Body: c.Body}
 	text := req.FastCGI(slot)
+	c.sent += int64(len(text))
 	if random.Float64() < c.Pieces {
 		cut := 1 + random.IntN(len(text)-lastRecord) // what follows the last record's head is padding: an answer may come before it
 		if _, err := io.WriteString(c.conn, text[:cut]); err != nil {
@@ -128,16 +134,16 @@
 	}
 	c.ledger.Wrote(c.Node, id, req.Handler, time.Now())
 	if c.over.IsZero() {
-		c.open[slot] = id
+		c.open[slot] = written{id, c.sent}
 	} else { // written after the end, which was not seen yet: it crossed it
-		c.ledger.Ended(id, c.over, "")
+		c.unanswered(written{id, c.sent})
 	}
 	return true
 }
 
 func (c *call) answer(a fcgiAnswer) {
 	c.mu.Lock()
-	id, ok := c.open[a.slot]
+	w, ok := c.open[a.slot]
 	delete(c.open, a.slot)
 	c.mu.Unlock()
 	if !ok {
@@ -148,23 +154,44 @@
 	case a.bare && a.status == 2:
 		outcome = Refused
 	case !a.bare:
-		outcome = OutcomeOf(a.text, Result(id, c.Body))
+		outcome = OutcomeOf(a.text, Result(w.id, c.Body))
 	}
-	c.ledger.Answered(id, outcome, time.Now())
+	c.ledger.Answered(w.id, outcome, time.Now())
 }
 
 // end enters what the end of the connection leaves without an answer.
 func (c *call) end() {
-	excuse := ""
-	if c.Excuse != nil {
-		excuse = c.Excuse()
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.over = time.Now()
-	for _, id := range c.open {
-		c.ledger.Ended(id, c.over, excuse)
+	for _, w := range c.open {
+		c.unanswered(w)
+	}
+}
+
+// unanswered enters a request whose connection ended without its answer, by what the node had of it and when the node ended.
+func (c *call) unanswered(w written) {
+	ended, excuse := c.over, ""
+	if c.Excuse != nil {
+		excuse = c.Excuse(c.began)
+	}
+	if c.Via != nil {
+		client := c.conn.LocalAddr().String()
+		at, had := c.Via.Handed(client, w.bytes)
+		farEnded, broken := c.Via.Ended(client)
+		switch {
+		case broken != "":
+			excuse = broken
+		case !had:
+			excuse = "the node never had it"
+		case farEnded.IsZero():
+			excuse = "the node did not end it"
+		default:
+			c.ledger.Handed(w.id, at)
+			ended = farEnded
+		}
 	}
+	c.ledger.Ended(w.id, ended, excuse)
 }
 
 func (c *call) waitForAnswers(ended chan struct{}) {
--- a/internal/stand/ledger.go
+++ b/internal/stand/ledger.go
@@ -40,6 +40,15 @@
 	l.all[id] = &Exchange{ID: id, Handler: handler, Node: node, Written: at, Outcome: Sent}
 }
 
+// Handed enters when the node had a request that something carried to it.
+func (l *Ledger) Handed(id uint64, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if x := l.all[id]; x != nil {
+		x.Written = at
+	}
+}
+
 // Answered enters a final answer; a second one breaks the rule on duplicates.
 func (l *Ledger) Answered(id uint64, o Outcome, at time.Time) {
 	l.mu.Lock()
--- a/internal/stand/processor.go
+++ b/internal/stand/processor.go
@@ -31,8 +31,9 @@
 	last    time.Time
 	busy    float64 // seconds of cores
 	runs    map[uint64]int
-	ids     map[uint64]string // begun ones and their handlers
-	effects map[string]int    // how often a body was begun, under whatever id; over all Resets
+	ids     map[uint64]string    // begun ones and their handlers
+	first   map[uint64]time.Time // when each was first begun
+	effects map[string]int       // how often a body was begun, under whatever id; over all Resets
 	wake    chan struct{}
 	done    chan struct{}
 }
@@ -58,7 +59,7 @@
 	}
 	now := time.Now()
 	p := &Processor{Cores: cores, Work: work, ln: ln, started: now, last: now, runs: map[uint64]int{},
-		ids: map[uint64]string{}, effects: map[string]int{}, wake: make(chan struct{}, 1), done: make(chan struct{})}
+		ids: map[uint64]string{}, first: map[uint64]time.Time{}, effects: map[string]int{}, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	go p.accept()
 	go p.run()
 	return p, nil
@@ -116,11 +117,18 @@
 	return out
 }
 
+// Begun gives when each id was first begun.
+func (p *Processor) Begun() map[uint64]time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.first)
+}
+
 // Reset forgets what was run: the machine died with its box, or the counts are read.
 func (p *Processor) Reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.running, p.notices, p.runs, p.ids = nil, nil, map[uint64]int{}, map[uint64]string{}
+	p.running, p.notices, p.runs, p.ids, p.first = nil, nil, map[uint64]int{}, map[uint64]string{}, map[uint64]time.Time{}
 	p.started = time.Now()
 }
 
@@ -191,7 +199,9 @@
 			return
 		}
 		p.advance()
-		p.runs[id]++
+		if p.runs[id]++; p.runs[id] == 1 {
+			p.first[id] = time.Now()
+		}
 		p.ids[id] = w[2]
 		p.effects[body]++
 		j := &job{id: id, body: body, left: p.Work(id, w[2]).Seconds(), took: time.Now()}
--- /dev/null
+++ b/internal/sysfault/sysfault.go
@@ -0,0 +1,13 @@
+//go:build !faults && !powerloss
+
+// Package sysfault is where rigs have the system fail: in builds of their own, tagged faults or powerloss, it reads from a file which calls fail
+// now and by how much the time of day is wrong. In all other builds it does nothing and costs nothing.
+package sysfault
+
+import "time"
+
+// Clock is by how much the time of day is wrong.
+func Clock() time.Duration { return 0 }
+
+// Of is the error with which a call of the system is to fail now; nil: it is to be made.
+func Of(Call) error { return nil }
