--- a/arrival/arrival.go
+++ b/arrival/arrival.go
@@ -35,7 +35,7 @@
 		if d := (wall - c.wall) - (mono - c.mono); d.Abs() >= stepLeast {
 			step, c.suspect = d, true
 		}
-		if late := mono - c.due; late >= stallLeast {
+		if late := mono - c.due; c.due > 0 && late >= stallLeast {
 			stall = late
 			if c.mono-c.stallTo > catchUp || c.stallTo == 0 {
 				c.stallFrom = c.mono
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -68,6 +68,7 @@
 	tidyAt    time.Duration
 	process   lifecycle.Process
 	heartbeat lifecycle.Heartbeat
+	leaving   bool // the notice came, and the overload controller has not heard of it
 	grace     time.Duration // after the notice, in which what is read may start
 	stamps    arrival.Clock
 	door      door
@@ -361,7 +362,11 @@
 
 // decide hands the module what has happened and carries out what it wants, until nothing follows at once.
 func (b *Backend) decide() {
-	for b.ctl != nil && len(b.events) > 0 {
+	for b.ctl != nil && (b.leaving || len(b.events) > 0) {
+		if b.leaving {
+			b.leaving = false
+			b.events = slices.Insert(b.events, 0, b.leaveEvent())
+		}
 		b.count.Batches++
 		b.count.Events += int64(len(b.events))
 		actions := b.ctl.Handle(b.now, b.events)
@@ -414,7 +419,6 @@
 	}
 	b.ctl = overload.New(b.cfg.Seed, s, started)
 	b.log.Info("processor is up", "cold", cold, "age", (b.now - started).Round(time.Millisecond))
-	b.tellLeave()
 	b.timerEvent() // the first reply has the health, the signal and the first wake
 }
 
--- a/backend/main.go
+++ b/backend/main.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	lastLines   = 50 * time.Millisecond  // for the log when the process ends: it may be held, and the kill is near
-	rereadEvery = 200 * time.Millisecond // between tries to read a configuration that the disk did not give
-	rereadFor   = 30 * time.Second       // and for how long after SIGHUP
+	lastLines     = 50 * time.Millisecond  // for the log when the process ends: it may be held, and the kill is near
+	rereadEvery   = 200 * time.Millisecond // between tries to read a configuration that the disk did not give
+	rereadFor     = 30 * time.Second       // and for how long after SIGHUP
+	rereadAtStart = 10 * time.Second       // and at the start: a node has 30 s to be ready
 )
 
 // Main runs one backend as a process: configuration from the environment, log on standard error, SIGTERM to
@@ -29,13 +30,10 @@
 	defer signal.Stop(asked)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT) // a second one changes nothing
 	defer stop()
-	cfg, err := Load()
+	cfg, err := loadAtStart(ctx, set)
 	if err != nil {
 		return err
 	}
-	if err := set(&cfg); err != nil {
-		return err
-	}
 	cfg.Limits.Apply()
 	signal.Ignore(syscall.SIGPIPE) // who reads the log may go: that ends nothing
 	lines := logline.New(os.Stderr)
@@ -74,18 +72,34 @@
 	return b.Serve(ctx)
 }
 
-// reread reads the configuration anew. One that can't be used changes nothing; it tells whether the file could not be read at all, as
-// where a disk fails for a while: the addresses of before may be gone for good, so it is tried again.
-func (b *Backend) reread(set func(*Config) error) (unread bool) {
-	cfg, err := Load()
+// load reads the platform's configuration and puts the operator's in; unread tells that a file is there and the disk did not give it.
+func load(set func(*Config) error) (cfg Config, unread bool, err error) {
+	cfg, err = Load()
 	if err == nil {
 		err = set(&cfg)
 	}
-	if err == nil {
-		b.Reload(cfg)
-		return false
-	}
-	b.log.Error("configuration not taken", "why", err)
 	var disk *fs.PathError
-	return errors.As(err, &disk)
+	return cfg, errors.As(err, &disk) && !errors.Is(err, fs.ErrNotExist), err
+}
+
+// loadAtStart reads the configuration, for a while again where the disk does not give it.
+func loadAtStart(ctx context.Context, set func(*Config) error) (Config, error) {
+	for end := time.Now().Add(rereadAtStart); ; time.Sleep(rereadEvery) {
+		cfg, unread, err := load(set)
+		if !unread || ctx.Err() != nil || time.Now().After(end) {
+			return cfg, err
+		}
+	}
+}
+
+// reread reads the configuration anew. One that can't be used changes nothing; it tells whether the file could not be read at all, as
+// where a disk fails for a while: the addresses of before may be gone for good, so it is tried again.
+func (b *Backend) reread(set func(*Config) error) (unread bool) {
+	cfg, unread, err := load(set)
+	if err != nil {
+		b.log.Error("configuration not taken", "why", err)
+		return unread
+	}
+	b.Reload(cfg)
+	return false
 }
--- a/backend/shutdown.go
+++ b/backend/shutdown.go
@@ -21,15 +21,12 @@
 	b.log.Info("leaving", "within", b.process.Kill()-b.now, "owed", b.owed, "heard_late_by_at_most", b.now-b.process.Notified())
 	b.tellPhase()
 	b.cluster.leave()
-	b.tellLeave()
+	b.leaving = true
 }
 
-// tellLeave has the overload controller hear of the notice; where it does not exist yet it hears of it first of all.
-func (b *Backend) tellLeave() {
-	if b.ctl != nil && b.process.Phase() != lifecycle.Serving {
-		b.events = append(b.events, overload.Event{Kind: overload.Leave, Unread: b.now - b.process.Notified(),
-			Left: b.process.AnswerBy() - b.now})
-	}
+// leaveEvent is what the overload controller hears of the notice: before all else of the batch, and dated by the time that it is given with it.
+func (b *Backend) leaveEvent() overload.Event {
+	return overload.Event{Kind: overload.Leave, Unread: b.now - b.process.Notified(), Left: b.process.AnswerBy() - b.now}
 }
 
 // tellPhase logs how far the end of the process has come.
--- a/cmd/frosthub/soak_test.go
+++ b/cmd/frosthub/soak_test.go
@@ -91,7 +91,7 @@
 	s.judge()
 	if s.Failed() {
 		for _, f := range plan {
-			s.Log(f)
+			s.Log("fault:", f)
 		}
 	}
 }
