What waits when a notice is heard of late, and was read after its grace, is not run

A node that had stood still heard of its notice 0.6 s late; the request had been taken in the turn before, so the controller held it as one from before the notice. leave now goes through what is held.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -68,7 +68,7 @@
 	tidyAt    time.Duration
 	process   lifecycle.Process
 	heartbeat lifecycle.Heartbeat
-	leaving   bool // the notice came, and the overload controller has not heard of it
+	leaving   bool          // the notice came, and the overload controller has not heard of it
 	grace     time.Duration // after the notice, in which what is read may start
 	stamps    arrival.Clock
 	door      door
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -102,9 +102,10 @@
 	id                   uint64
 	h                    *handler
 	arrived, due, target time.Duration
-	size, scale          float64 // kilobytes held; told cost over the usual of its handler
-	fore                 *req    // what it repeats
-	owed                 int     // repeats that wait for this one
+	read                 time.Duration // when this module heard of it
+	size, scale          float64       // kilobytes held; told cost over the usual of its handler
+	fore                 *req          // what it repeats
+	owed                 int           // repeats that wait for this one
 
 	at, want                                place         // present and wanted place
 	out, wantOut                            ActionKind    // final answer given and wanted: Shed, Error or none
@@ -442,7 +443,7 @@
 		c.handlers = append(c.handlers, &handler{timeout: bearable, target: bearable, value: 1, once: true})
 	}
 	h := c.handlers[e.Handler]
-	r := &req{id: e.ID, h: h, arrived: now - e.Unread, size: e.Size, scale: 1}
+	r := &req{id: e.ID, h: h, arrived: now - e.Unread, read: now, size: e.Size, scale: 1}
 	r.due = max(now, r.arrived+h.timeout)
 	if e.Left > 0 {
 		r.due = now + e.Left
@@ -489,7 +490,7 @@
 	switch {
 	case c.dueNow(now, r):
 		c.giveUp(r)
-	case c.left > 0 && now > c.left+c.grace, c.stuck, c.mem+key > memHold*c.memory:
+	case c.pastGrace(r), c.stuck, c.mem+key > memHold*c.memory:
 		c.refuse(r, c.maxRetry)
 	case h.base == 0 && float64(c.n[held]) > startHold*c.cores,
 		end > finish && (c.n[held] > 1 || c.n[running] > 0):
@@ -849,10 +850,16 @@
 	c.left, c.stop = now-ago, now+left-look-2*c.batch
 	for _, r := range c.all {
 		r.due = min(r.due, c.stop)
+		if r.want == held && r.owing() && c.pastGrace(r) { // the notice was heard of late
+			c.refuse(r, c.maxRetry)
+		}
 		c.watch(now, r)
 	}
 }
 
+// pastGrace tells whether a req was read after the grace that follows the notice: it is not run.
+func (c *Controller) pastGrace(r *req) bool { return c.left > 0 && r.read > c.left+c.grace }
+
 // ---- present and wanted state ----
 
 func (c *Controller) touch(r *req) {
