A process that finds no descriptor when it starts waits for some, in place of ending by a nil pointer

Cause: netpoll makes its poller with the first connection, ignores that it could not (manager.Pick: _ = m.Run()), and then picks from none. The poller is now made at the start, again until there is one; and a listener that could not be polled is tried again in place of standing deaf.

--- a/cmd/frosthub/soak_test.go
+++ b/cmd/frosthub/soak_test.go
@@ -162,8 +162,11 @@
 			}
 		}
 		troubles = append(troubles, n.Troubles()...)
+		if _, stack, panicked := strings.Cut(n.Box.Log(), "panic: "); panicked {
+			logged = append(logged, n.Name+": panic: "+stack[:min(len(stack), 3000)])
+		}
 		for line := range strings.Lines(n.Box.Log()) {
-			if strings.Contains(line, "rule kept at the last moment") || strings.Contains(line, "panic") || strings.Contains(line, "invariant broken") ||
+			if strings.Contains(line, "rule kept at the last moment") || strings.Contains(line, "invariant broken") ||
 				strings.Contains(line, "figures differ") {
 				logged = append(logged, n.Name+": "+strings.TrimSpace(line))
 			}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -32,13 +32,15 @@
 )
 
 const (
-	outMost    = 256 << 10              // bytes that may wait for a peer, where nothing else is said
-	kernelMost = 64 << 10               // bytes the system takes in for a connection accepted: all that is open on one
-	unreadMost = 1 << 20                // bytes of a connection that may wait for the owner: far past that
-	retryAfter = 5 * time.Millisecond   // until a peer that took no bytes is tried again
-	stallMost  = 15 * time.Second       // a peer that takes nothing for so long has lost its answers anyway
-	dialFor    = 500 * time.Millisecond // a peer on the same machine or next to it answers far sooner
-	lingerFor  = 200 * time.Millisecond // after the sending side is closed, for the peer's close: many round trips
+	outMost      = 256 << 10              // bytes that may wait for a peer, where nothing else is said
+	kernelMost   = 64 << 10               // bytes the system takes in for a connection accepted: all that is open on one
+	unreadMost   = 1 << 20                // bytes of a connection that may wait for the owner: far past that
+	retryAfter   = 5 * time.Millisecond   // until a peer that took no bytes is tried again
+	stallMost    = 15 * time.Second       // a peer that takes nothing for so long has lost its answers anyway
+	dialFor      = 500 * time.Millisecond // a peer on the same machine or next to it answers far sooner
+	pollersFor   = 10 * time.Second       // tries to make the poller at the start: a node has 30 s to be ready
+	pollersAgain = 20 * time.Millisecond  // between them
+	lingerFor    = 200 * time.Millisecond // after the sending side is closed, for the peer's close: many round trips
 )
 
 // Errors that end a connection.
@@ -473,6 +475,22 @@
 		go f()
 		runtime.Gosched()
 	})
+	for end := time.Now().Add(pollersFor); !startPollers() && time.Now().Before(end); {
+		time.Sleep(pollersAgain)
+	}
+}
+
+// startPollers has netpoll make its poller now, and tells whether it did. By itself it would make it with the first connection, and where the
+// system gives no descriptor in that moment the process would end by a nil pointer then, or at any later one.
+func startPollers() (made bool) {
+	defer func() {
+		if made = recover() == nil; !made {
+			_ = netpoll.SetLoadBalance(netpoll.RoundRobin) // it has let go of its own
+			_ = netpoll.SetNumLoops(1)
+		}
+	}()
+	netpoll.Initialize()
+	return true
 }
 
 type logWriter struct {
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
+	"os"
+	"os/exec"
 	"syscall"
 	"testing"
 	"time"
@@ -357,6 +360,56 @@
 	}
 }
 
+// TestStartWithoutDescriptors: a process that finds no descriptor when it starts waits for some, and serves.
+func TestStartWithoutDescriptors(t *testing.T) {
+	const childName = "CONN_TEST_CHILD"
+	if os.Getenv(childName) == "" {
+		child := exec.Command(os.Args[0], "-test.run", "^TestStartWithoutDescriptors$")
+		child.Env = append(os.Environ(), childName+"=1")
+		if out, err := child.CombinedOutput(); err != nil {
+			t.Fatal(err, string(out))
+		}
+		return
+	}
+	var before syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &before); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: 0, Max: before.Max}); err != nil {
+		t.Fatal(err)
+	}
+	if startPollers() {
+		t.Error("there was a descriptor: nothing is shown")
+	}
+	again := make(chan error, 1)
+	go func() {
+		time.Sleep(5 * pollersAgain)
+		again <- syscall.Setrlimit(syscall.RLIMIT_NOFILE, &before)
+	}()
+	Prepare(slog.New(slog.DiscardHandler))
+	if err := <-again; err != nil {
+		t.Fatal(err)
+	}
+	b := NewInbox()
+	var conns []*Conn
+	var ends []error
+	address, _ := serve(t, b, 10, &conns, &ends)
+	peer := dial(t, address)
+	_, _ = peer.Write([]byte("hello"))
+	heard := make(chan struct{})
+	go func() { _, _ = io.ReadFull(peer, make([]byte, 5)); close(heard) }()
+	if !owner(b, func() bool {
+		select {
+		case <-heard:
+			return true
+		default:
+			return false
+		}
+	}) {
+		t.Error("it does not serve")
+	}
+}
+
 // TestNothingHeldBack: the system sends small writes at once, on connections of either side: what it held back would go with
 // a reset.
 func TestNothingHeldBack(t *testing.T) {
--- a/internal/conn/listener.go
+++ b/internal/conn/listener.go
@@ -73,10 +73,25 @@
 		l.shut()
 		return nil, err
 	}
-	go func() { _ = loop.Serve(l) }()
+	go l.serve(loop)
 	return l, nil
 }
 
+// serve has netpoll accept, again where the system fails to have it polled.
+func (l *Listener) serve(loop netpoll.EventLoop) {
+	for {
+		err := loop.Serve(l)
+		l.mu.Lock()
+		over := l.ending || l.file == nil
+		l.mu.Unlock()
+		if over || err == nil {
+			return
+		}
+		l.turned(err)
+		time.Sleep(acceptPause)
+	}
+}
+
 // Addr is where it listens.
 func (l *Listener) Addr() net.Addr { return l.addr }
 
