Stamps after a step count beyond the youngest of late; who is refused at the end is told to stay away

After a forward step each request seemed 250 ms older than it was, which the controller takes for a reading jam: the signal falls and short targets are missed. Once the clocks have disagreed a request's age now counts beyond that of the youngest in two seconds, taken from verified connections only, within what the node's own clock allows. Refusals while the process ends carry Retry-After-Ms where the settings allow it. Measured: arrival tests (10 ms told as 10 ms after steps of 2 s and 10 h; 900 ms in a standstill as 850 to 900); backend tests pass.

--- a/arrival/arrival.go
+++ b/arrival/arrival.go
@@ -9,7 +9,7 @@
 	stepLeast  = 20 * time.Millisecond  // between both clocks of the node from turn to turn: slewing moves them by far less
 	stallLeast = 25 * time.Millisecond  // that a turn comes later than it was due: a usual turn takes far less
 	catchUp    = 2 * time.Second        // after a stall, in which what lay unread meanwhile is still read
-	readAtOnce = 100 * time.Millisecond // after a stall, in which most of that is read
+	window     = 2 * time.Second        // in which some request is read at once, by a node whose clocks have disagreed
 	promptly   = 250 * time.Millisecond // from a request's coming until it is read, by a node that does not stand still
 	doubtFor   = 500 * time.Millisecond // and doubtLeast requests: all stamped too early for that, so it is the clocks
 	doubtLeast = 4
@@ -26,6 +26,10 @@
 	suspect   bool          // the clocks have disagreed: a stamp counts only within what the node knows of itself
 	oddSince  time.Duration // since when each request was stamped earlier than can be
 	oddNumber int
+
+	least     [2]time.Duration // the least age in the present half of the window and in the one before: that of one read at once
+	leastFrom time.Duration    // since when the present half is
+	leastAny  [2]bool          // whether there was a request in each
 }
 
 // Turn notes both clocks at the start of a turn of the node, and when the next is due at the latest. It gives by how much the wall clock
@@ -34,6 +38,7 @@
 	if c.seen {
 		if d := (wall - c.wall) - (mono - c.mono); d.Abs() >= stepLeast {
 			step, c.suspect = d, true
+			c.leastAny = [2]bool{} // ages from before say nothing any more
 		}
 		if late := mono - c.due; c.due > 0 && late >= stallLeast {
 			stall = late
@@ -62,17 +67,39 @@
 }
 
 // Unread is how long a request that is read in the present turn lay unread, going by its stamp, a time of day. Where the clocks have
-// disagreed it is held within what can be; a stamp in the future then counts as one from the beginning of a stall that has just ended.
-func (c *Clock) Unread(stamp time.Duration) time.Duration {
+// disagreed it is its age beyond that of the youngest of late, and within what can be. Only a trusted one tells anything of the clocks.
+func (c *Clock) Unread(stamp time.Duration, trusted bool) time.Duration {
 	age := c.wall - stamp
-	c.doubt(age)
+	if trusted {
+		c.note(age)
+		c.doubt(age)
+	}
+	if c.suspect {
+		age = min(age-c.youngest(), c.longest())
+	}
+	return max(0, age)
+}
+
+// note takes an age into the window.
+func (c *Clock) note(age time.Duration) {
+	if c.mono-c.leastFrom >= window/2 {
+		c.leastFrom = c.mono
+		c.least[1], c.leastAny[1], c.leastAny[0] = c.least[0], c.leastAny[0], false
+	}
+	if !c.leastAny[0] || age < c.least[0] {
+		c.least[0], c.leastAny[0] = age, true
+	}
+}
+
+// youngest is the least age in the window, 0 if it is empty.
+func (c *Clock) youngest() time.Duration {
 	switch {
-	case !c.suspect:
-		return max(0, age)
-	case age >= 0:
-		return min(age, c.longest())
-	case c.stallTo > 0 && c.mono-c.stallTo <= readAtOnce:
-		return c.mono - c.stallFrom
+	case c.leastAny[0] && c.leastAny[1]:
+		return min(c.least[0], c.least[1])
+	case c.leastAny[0]:
+		return c.least[0]
+	case c.leastAny[1]:
+		return c.least[1]
 	}
 	return 0
 }
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -70,6 +70,7 @@
 	heartbeat lifecycle.Heartbeat
 	leaving   bool          // the notice came, and the overload controller has not heard of it
 	grace     time.Duration // after the notice, in which what is read may start
+	awayFor   time.Duration // what who is refused at the end is told to stay away; 0 nothing
 	stamps    arrival.Clock
 	door      door
 	link      link
@@ -115,6 +116,10 @@
 	b.canStop = part["halt"] != nil && part["halt"] != "off"
 	rules, _ := b.cfg.Settings["rules"].(map[string]any)
 	b.grace, _ = rules["drain_grace"].(time.Duration)
+	limits, _ := b.cfg.Settings["limits"].(map[string]any)
+	if advice, _ := limits["retry_after"].(bool); advice {
+		b.awayFor, _ = limits["max_retry_after"].(time.Duration)
+	}
 	b.cfg.Settings = b.keeper.init(b)
 	b.fit()
 	list, _ := b.cfg.Settings["handlers"].([]any)
--- a/backend/door.go
+++ b/backend/door.go
@@ -305,7 +305,7 @@
 // refusePart answers a req that is half read: nothing of it will run.
 func (f *door) refusePart(e *edge, slot uint16, keep bool) {
 	t := f.nameless(e)
-	f.answer(e, slot, keep, &reply{status: 503})
+	f.answer(e, slot, keep, f.refusal())
 	f.owe(e, t, 0, account.NotReady)
 	f.weigh(e)
 }
@@ -467,14 +467,14 @@
 		f.bad(e, r.slot, r.keep, r.ticket, r.id, reason, why)
 		return
 	}
-	unread := b.stamps.Unread(time.Duration(a.started * float64(time.Millisecond)))
+	unread := b.stamps.Unread(time.Duration(a.started*float64(time.Millisecond)), e.known || !b.canStop)
 	refuses := b.ctl == nil || b.process.Take() != lifecycle.Allowed
 	if refuses || unread > b.handlers[r.h].timeout || r.waits > 0 && unread > r.waits { // nobody waits; so old a start would tell of a standstill
 		reason = account.Aged
 		if refuses {
 			reason = account.NotReady
 		}
-		f.answer(e, r.slot, r.keep, &reply{status: 503})
+		f.answer(e, r.slot, r.keep, f.refusal())
 		f.owe(e, r.ticket, r.id, reason)
 		return
 	}
@@ -543,7 +543,7 @@
 // declined answers a req without a result, as the reason has it: refused, where the module has not, or no longer, to decide, or errored.
 func (f *door) declined(r *req, why account.Reason) {
 	if why.Figure() == account.Refused {
-		f.final(r, why, &reply{status: 503, after: f.b.keeper.after})
+		f.final(r, why, &reply{status: 503, after: f.b.awayFor})
 	} else {
 		f.errored(r, why)
 	}
@@ -553,7 +553,16 @@
 	f.final(r, account.Shed, &reply{status: 503, after: after, dontRetry: dontRetry})
 }
 
-func (f *door) refused(r *req) { f.final(r, account.NotReady, &reply{status: 503}) }
+func (f *door) refused(r *req) { f.final(r, account.NotReady, f.refusal()) }
+
+// refusal is that of a req that the overload controller does not hear of. A process that ends tells how long to stay away from its address.
+func (f *door) refusal() *reply {
+	a := &reply{status: 503}
+	if f.b.process.Take() != lifecycle.Allowed {
+		a.after = f.b.awayFor
+	}
+	return a
+}
 
 func (f *door) final(r *req, why account.Reason, a *reply) {
 	if v := lifecycle.Answer(r.edge != nil && r.edge.open[r.slot] != r, r.edge != nil); v != lifecycle.Allowed {
--- a/backend/keeper.go
+++ b/backend/keeper.go
@@ -106,9 +106,8 @@
 // says. All decisions are the store's.
 type keeper struct {
 	b       *Backend
-	parts   [][]Part      // by handler; nil: not guarded
-	after   time.Duration // what a refused one is told to stay away
-	store   *keep.Store   // nil until it is read
+	parts   [][]Part    // by handler; nil: not guarded
+	store   *keep.Store // nil until it is read
 	log     *keeplog.Log
 	lock    *os.File
 	from    time.Duration // the span at which the time of day was base
@@ -144,10 +143,6 @@
 	}
 	cfg.Defaults(b.cfg.Limits.MemoryMB)
 	settings := maps.Clone(b.cfg.Settings)
-	limits, _ := settings["limits"].(map[string]any)
-	if advice, _ := limits["retry_after"].(bool); advice {
-		k.after, _ = limits["max_retry_after"].(time.Duration)
-	}
 	list, _ := settings["handlers"].([]any)
 	list = slices.Clone(list)
 	for i, v := range list {
