--- a/backend/ajp.go
+++ b/backend/ajp.go
@@ -80,7 +80,7 @@
 func (x *jp) message(m ajp.Message) {
 	f, e := x.f, x.e
 	b := f.b
-	if e.last {
+	if e.broken {
 		return
 	}
 	e.used, e.sent = b.now, true
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -275,7 +275,7 @@
 		t := b.clock()
 		b.next = b.now + time.Second
 		b.box.Turn()
-		b.link.askStrange()
+		b.link.askUnverified()
 		b.lookAtTime()
 		b.decide()
 		for b.cluster.hand() {
@@ -394,7 +394,7 @@
 		if b.owes(r) {
 			owed++
 			invariant.Check(r.edge.open[r.slot] == r, "an owed req holds its slot")
-			invariant.Check(r.at != strange || r.guard != nil || slices.Contains(b.link.strange, r), "a strange req is asked for")
+			invariant.Check(r.at != unverified || r.guard != nil || slices.Contains(b.link.unverified, r), "an unverified req is asked for")
 		} else {
 			invariant.Check(r.taken || r.at >= noting, "what is kept without being owed runs")
 		}
@@ -406,7 +406,7 @@
 	slots := 0
 	for e := range b.door.edges {
 		slots += len(e.open)
-		invariant.Check(e.last || e.p.open() >= len(e.open)+len(e.checks), "open slots are known to the parser")
+		invariant.Check(e.broken || e.p.open() >= len(e.open)+len(e.checks), "open slots are known to the parser")
 	}
 	invariant.Check(owed == b.owed && owed == slots, "held and running reqs are those owed, each on one slot")
 	b.compare()
--- a/backend/cluster.go
+++ b/backend/cluster.go
@@ -351,7 +351,7 @@
 // ask has a guarded req's group asked, before the module hears of it.
 func (c *cluster) ask(r *req) {
 	g := r.guard
-	r.at = strange
+	r.at = unverified
 	h := &c.b.handlers[r.h]
 	c.box.Ask(c.b.keeper.now(), g.key, g.made, r.id, takeover.Work{Handler: h.name, Body: r.body, Left: int64(g.due - c.b.now),
 		Cost: int64(r.ev.Hint), Size: r.ev.Size, Rank: r.ev.Rank, Worth: h.value, Replay: g.replay})
@@ -497,7 +497,7 @@
 		}
 		return
 	}
-	asking := r.at == strange
+	asking := r.at == unverified
 	switch {
 	case o.Verdict == keep.Fresh && asking:
 		c.admitted(r, false)
--- a/backend/crossing_test.go
+++ b/backend/crossing_test.go
@@ -528,7 +528,7 @@
 // strangers waits until the processor is asked for so many reqs.
 func (s *stage) strangers(n int) {
 	s.t.Helper()
-	s.until(func() bool { return len(s.b.link.strange) == n })
+	s.until(func() bool { return len(s.b.link.unverified) == n })
 }
 
 // until waits until the owner finds it so.
--- a/backend/fcgi.go
+++ b/backend/fcgi.go
@@ -36,7 +36,7 @@
 func (x *fcgi) message(m fastcgi.Message) {
 	f, e := x.f, x.e
 	b := f.b
-	if e.last {
+	if e.broken {
 		return
 	}
 	e.used, e.sent = b.now, true
--- a/backend/link.go
+++ b/backend/link.go
@@ -15,38 +15,38 @@
 )
 
 const (
-	redial      = 2 * time.Millisecond   // before the first further try to reach the processor
-	redialMax   = 500 * time.Millisecond // between later ones: it may come up long after this backend
-	quietMost   = 50 * time.Millisecond  // for the last answer on a link that is to be replaced
-	probeWait   = 100 * time.Millisecond // for a word of a run that may not be, and then of its interrupt: twenty ticks
-	strangeMost = 500 * time.Millisecond // for the processor's word whether it knows a req: far past any pause
-	linkShare   = 0.25                   // of the memory limit, for commands that wait, and as much for notices
+	redial         = 2 * time.Millisecond   // before the first further try to reach the processor
+	redialMax      = 500 * time.Millisecond // between later ones: it may come up long after this backend
+	quietMost      = 50 * time.Millisecond  // for the last answer on a link that is to be replaced
+	probeWait      = 100 * time.Millisecond // for a word of a run that may not be, and then of its interrupt: twenty ticks
+	unverifiedMost = 500 * time.Millisecond // for the processor's word whether it knows a req: far past any pause
+	linkShare      = 0.25                   // of the memory limit, for commands that wait, and as much for notices
 )
 
 // link is the link to the processor. It may break; what was sent on it then may or may not have arrived. The
 // processor keeps its notices and takes commands in their order, so a question for gauges that is answered
 // proves that all before it arrived, and that all notices of before were read.
 type link struct {
-	b       *Backend
-	address string
-	c       *conn.Conn    // nil while there is none
-	next    *conn.Conn    // takes its place once all that was sent on c is proved to have arrived
-	quiet   uint64        // the question whose answer proves it; no commands are sent meanwhile; 0 none
-	quietBy time.Duration // it is replaced then without that
-	moved   bool          // c leads to an address that is no more
-	finish  time.Duration // it is closed then
-	up      bool          // hi was read on this one
-	last    uint64        // the last notice that was read
-	tag     uint64        // of the last question, for gauges or a trial
-	acked   uint64        // the last question for gauges that was answered
-	age     time.Duration // of the processor, as told last
-	probes  int           // reqs whose begin is being probed
-	resync  uint64        // this one's answer ends the resumption; 0 it has ended
-	trials  []uint64      // asked and not told
-	strange []*req        // the processor is asked whether it knows them, in order
-	dialing bool
-	dialAt  time.Duration
-	wait    time.Duration
+	b          *Backend
+	address    string
+	c          *conn.Conn    // nil while there is none
+	next       *conn.Conn    // takes its place once all that was sent on c is proved to have arrived
+	quiet      uint64        // the question whose answer proves it; no commands are sent meanwhile; 0 none
+	quietBy    time.Duration // it is replaced then without that
+	moved      bool          // c leads to an address that is no more
+	finish     time.Duration // it is closed then
+	up         bool          // hi was read on this one
+	last       uint64        // the last notice that was read
+	tag        uint64        // of the last question, for gauges or a trial
+	acked      uint64        // the last question for gauges that was answered
+	age        time.Duration // of the processor, as told last
+	probes     int           // reqs whose begin is being probed
+	resync     uint64        // this one's answer ends the resumption; 0 it has ended
+	trials     []uint64      // asked and not told
+	unverified []*req        // the processor is asked whether it knows them, in order
+	dialing    bool
+	dialAt     time.Duration
+	wait       time.Duration
 }
 
 func (l *link) init(b *Backend) { l.b, l.address, l.wait = b, b.cfg.Processor, redial }
@@ -60,8 +60,8 @@
 		}
 		b.at(l.finish)
 	}
-	if len(l.strange) > 0 { // the processor takes no questions: the module decides, and knows when an answer is due
-		if till := l.strange[0].since + strangeMost; b.now >= till {
+	if len(l.unverified) > 0 { // the processor takes no questions: the module decides, and knows when an answer is due
+		if till := l.unverified[0].since + unverifiedMost; b.now >= till {
 			l.admitAll()
 		} else {
 			b.at(till)
@@ -202,24 +202,24 @@
 	}
 	l.b.scratch = processor.AppendInterrupt(l.b.scratch[:0], r.name)
 	l.write(l.b.scratch)
-	r.unknown = l.tag + 1 // asked for once a turn, by askStrange
-	l.strange = append(l.strange, r)
+	r.unknown = l.tag + 1 // asked for once a turn, by askUnverified
+	l.unverified = append(l.unverified, r)
 	return true
 }
 
-// askStrange asks the question that ends the wait of this turn's strange reqs.
-func (l *link) askStrange() {
-	if n := len(l.strange); n > 0 && l.strange[n-1].unknown > l.tag {
+// askUnverified asks the question that ends the wait of this turn's unverified reqs.
+func (l *link) askUnverified() {
+	if n := len(l.unverified); n > 0 && l.unverified[n-1].unknown > l.tag {
 		l.usage()
 	}
 }
 
-// admit takes the strange reqs that were asked for by then as known, or all if nobody can tell any more.
+// admit takes the unverified reqs that were asked for by then as known, or all if nobody can tell any more.
 func (l *link) admit(tag uint64) {
-	for len(l.strange) > 0 && l.strange[0].unknown <= tag {
-		r := l.strange[0]
-		l.strange = l.strange[1:]
-		if r.at == strange && l.b.reqs[r.id] == r {
+	for len(l.unverified) > 0 && l.unverified[0].unknown <= tag {
+		r := l.unverified[0]
+		l.unverified = l.unverified[1:]
+		if r.at == unverified && l.b.reqs[r.id] == r {
 			r.proved = tag < math.MaxUint64
 			r.edge.known = r.edge.known || r.proved
 			l.b.arrived(r)
@@ -227,7 +227,7 @@
 	}
 }
 
-// admitAll takes all strange reqs: nobody can tell, or there is no time to wait for it.
+// admitAll takes all unverified reqs: nobody can tell, or there is no time to wait for it.
 func (l *link) admitAll() { l.admit(math.MaxUint64) }
 
 func (l *link) begin(r *req) {
@@ -297,7 +297,7 @@
 		b.note("processor rejects", "command", n.Text)
 		switch r := b.reqs[n.ID]; { // the processor knows no such req: nothing was run
 		case r == nil:
-		case n.Text == "interrupt" && r.at == strange:
+		case n.Text == "interrupt" && r.at == unverified:
 			b.door.unknown(r)
 		case n.Text == "begin" && r.at == running && r.sent && !r.seen:
 			if b.owes(r) {
--- a/backend/req.go
+++ b/backend/req.go
@@ -14,7 +14,7 @@
 type place uint8
 
 const (
-	strange place = iota // the processor is asked whether it knows it; the module has not heard of it
+	unverified place = iota // the processor is asked whether it knows it; the module has not heard of it
 	held
 	joined  // waits for the result of another
 	noting  // guarded, to be begun: waits until that is on the disk, or for another with its key
@@ -50,7 +50,7 @@
 	unserved   bool // its last call failed
 	callDoubt  bool // and may have had its effect
 
-	ev      overload.Event // strange: its arrival
+	ev      overload.Event // unverified: its arrival
 	since   time.Duration  // when it was read whole
 	came    time.Duration  // when it came to the machine
 	proved  bool           // the processor knows it
@@ -223,7 +223,7 @@
 	}
 	b.book.Close(b.wall, r.ticket, why)
 	r.edge = nil
-	if r.at != strange && r.at != writing {
+	if r.at != unverified && r.at != writing {
 		b.events = append(b.events, overload.Event{Kind: overload.Gone, ID: r.id, Outcome: how})
 	}
 	b.unowed(r)
@@ -232,7 +232,7 @@
 // unowed lets go of a req that never ran, and ends a run that stands at a call: as the simulator does.
 func (b *Backend) unowed(r *req) {
 	switch r.at {
-	case strange, held, joined:
+	case unverified, held, joined:
 		delete(b.reqs, r.id)
 		b.keeper.leave(r)
 		b.keys.ended(r, overload.Errored, false, nil)
--- /dev/null
+++ b/backend/request.go
@@ -0,0 +1,254 @@
+package backend
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"frosthub/account"
+	"frosthub/internal/lines"
+	"frosthub/lifecycle"
+	"frosthub/overload"
+)
+
+// fieldNames are the fields as HTTP names them, what the deployment and the operators of others call theirs.
+var fieldNames = []ownField{{"X-Request-Id", idField}, {"X-Request-Start", startField}, {"X-Caller", callerField},
+	{"X-Cost-Ms", costField}, {"X-Memory-Kb", memoryField}, {"X-Rank", rankField}, {"X-Object", objectField},
+	{"Idempotency-Key", onceField}, {"X-Tenant", tenantField}, {"X-Timeout-Ms", timeoutField}}
+
+func (f *door) init(b *Backend) {
+	f.b, f.edges = b, map[*edge]struct{}{}
+	f.cgi = map[string][]field{"SCRIPT_NAME": {pathField}, "QUERY_STRING": {queryField}}
+	f.http = map[string][]field{}
+	for _, x := range append(slices.Clone(fieldNames), ownField{b.cfg.Figures.CustomerField, customerField},
+		ownField{b.cfg.Keep.KeyField, keyField}, ownField{b.cfg.Keep.MadeField, madeField}) {
+		if x.header != "" {
+			param, lower := "HTTP_"+strings.ToUpper(strings.ReplaceAll(x.header, "-", "_")), strings.ToLower(x.header)
+			f.cgi[param] = append(f.cgi[param], x.means)
+			f.http[lower] = append(f.http[lower], x.means)
+		}
+	}
+}
+
+// ownField is a header and its meaning.
+type ownField struct {
+	header string
+	means  field
+}
+
+// bad answers a req that can't be taken. Who goes on with such is closed: it would begin again at once.
+func (f *door) bad(e *edge, slot uint16, keep bool, t account.Ticket, id uint64, reason account.Reason, why string) {
+	f.b.count.BadReqs++
+	f.b.note("bad req", "why", why)
+	e.bad++
+	status := 400
+	switch reason {
+	case account.NoHandler:
+		status = 404
+	case account.BadSecret:
+		status = 403
+	}
+	f.answer(e, slot, keep && e.bad < badMost, &reply{status: status})
+	f.owe(e, t, id, reason)
+	if e.bad >= badCut && !e.broken {
+		f.cut(e, errBad)
+	}
+}
+
+// refusePart answers a req that is half read: nothing of it will run.
+func (f *door) refusePart(e *edge, slot uint16, keep bool) {
+	t := f.nameless(e)
+	f.answer(e, slot, keep, f.refusal())
+	f.owe(e, t, 0, account.NotReady)
+	f.weigh(e)
+}
+
+// nameless takes a req of which neither id nor handler is known.
+func (f *door) nameless(e *edge) account.Ticket {
+	return f.b.book.Open(f.b.wall, 0, 0, e.p.front(), account.Name{})
+}
+
+// takenBack follows the word that nobody waits any more.
+func (f *door) takenBack(e *edge, slot uint16) {
+	if r := e.open[slot]; r != nil {
+		delete(e.open, slot)
+		f.b.gone(r, 0)
+	}
+	delete(e.checks, slot)
+}
+
+// field is one that a req may have, whatever a protocol calls it.
+type field uint8
+
+const (
+	pathField field = iota
+	queryField
+	idField
+	startField
+	callerField
+	costField
+	memoryField
+	rankField
+	objectField
+	customerField
+	keyField
+	madeField
+	onceField
+	tenantField
+	timeoutField
+)
+
+// asked is a req whose fields are being read.
+type asked struct {
+	b           *Backend
+	r           *req
+	ev          overload.Event
+	path, query string
+	started     float64
+	hasStart    bool
+	customer    account.Name
+	owner       []byte  // the customer's name whole, and
+	key         []byte  // the field that names what must not run twice: both only where something is guarded
+	made        float64 // Unix milliseconds; 0 not told
+	once        string  // its idempotency key
+	tenant      string
+	why         string // what is wrong with it
+}
+
+// newAsked begins one.
+func (f *door) newAsked(e *edge, slot uint16, keep bool, body []byte) *asked {
+	return &asked{b: f.b, r: &req{edge: e, slot: slot, keep: keep, body: body}, ev: overload.Event{Kind: overload.Arrived}}
+}
+
+func (a *asked) number(v []byte, most float64) float64 {
+	n, err := strconv.ParseFloat(string(v), 64)
+	if err != nil || !(n >= 0 && n <= most) {
+		a.why = "a field is no number in its range"
+	}
+	return n
+}
+
+// setAll takes a field in each of its meanings.
+func (a *asked) setAll(names []field, v []byte) {
+	for _, name := range names {
+		a.set(name, v)
+	}
+}
+
+// set takes a field.
+func (a *asked) set(name field, v []byte) {
+	switch name {
+	case pathField:
+		a.path = string(v)
+	case queryField:
+		a.query = string(v)
+	case idField:
+		a.r.name = string(v)
+		a.r.id, _ = lines.ID(v)
+	case startField:
+		a.started, a.hasStart = a.number(v, math.MaxInt64/2), true
+	case callerField:
+		n := a.number(v, math.MaxInt32)
+		if a.ev.Caller = int(n); float64(a.ev.Caller) != n {
+			a.why = "a field is no number in its range"
+		}
+		if a.b.cfg.Figures.CustomerField == "" {
+			a.owned(v)
+		}
+	case costField:
+		a.ev.Hint = time.Duration(a.number(v, 1e9) * float64(time.Millisecond))
+	case memoryField:
+		a.ev.Size = a.number(v, sizeMost)
+	case rankField:
+		a.ev.Rank = a.number(v, 1)
+	case objectField:
+		a.ev.Subject = string(v)
+	case customerField:
+		a.owned(v)
+	case keyField:
+		a.key = append(a.key[:0], v...)
+	case madeField:
+		a.made = a.number(v, math.MaxInt64/2)
+	case onceField:
+		a.once = string(v)
+	case tenantField:
+		a.tenant = string(v)
+	case timeoutField:
+		a.r.waits = time.Duration(a.number(v, 1e9) * float64(time.Millisecond))
+	}
+}
+
+// owned takes its customer.
+func (a *asked) owned(v []byte) {
+	a.customer = account.NameOf(v)
+	if a.b.keeper.on() {
+		a.owner = append(a.owner[:0], v...)
+	}
+}
+
+// request takes a req whose fields were all read, and whole if they were.
+func (f *door) request(a *asked, whole bool) {
+	b, r, ev := f.b, a.r, &a.ev
+	e := r.edge
+	if whole && a.path == "/_health" {
+		f.check(e, r.slot, r.keep, a.query)
+		return
+	}
+	name, isInvoke := strings.CutPrefix(a.path, "/invoke/")
+	r.h = b.handlerOf(name)
+	reason := account.BadFields
+	why := a.why
+	switch {
+	case !whole:
+		why = "parameters cut short"
+	case !isInvoke || r.h < 0:
+		why, reason = "unknown handler", account.NoHandler
+	case why != "":
+	case r.id == 0:
+		why = "no id of 16 hex digits"
+	case !a.hasStart || ev.Size == 0:
+		why = "start or memory is missing"
+	case !b.keeper.named(a):
+		why = "no key, and it must not run twice"
+	case ev.Rank == 1 || ev.Size == sizeMost || ev.Hint > costMost*b.handlers[r.h].timeout || a.started > startMost:
+		why = "a field is out of its range"
+	case b.reqs[r.id] != nil:
+		why = "an id that is in use"
+	}
+	r.ticket = b.book.Open(b.wall, r.id, b.rowOf(r.h), e.p.front(), a.customer)
+	if why != "" {
+		f.bad(e, r.slot, r.keep, r.ticket, r.id, reason, why)
+		return
+	}
+	unread := b.stamps.Unread(time.Duration(a.started*float64(time.Millisecond)), e.known || !b.canStop)
+	refuses := b.ctl == nil || b.process.Take() != lifecycle.Allowed
+	if refuses || unread > b.handlers[r.h].timeout || r.waits > 0 && unread > r.waits { // nobody waits; so old a start would tell of a standstill
+		reason = account.Aged
+		if refuses {
+			reason = account.NotReady
+		}
+		f.answer(e, r.slot, r.keep, f.refusal())
+		f.owe(e, r.ticket, r.id, reason)
+		return
+	}
+	ev.ID, ev.Handler, ev.Unread, ev.Customer = r.id, r.h, unread, slices.Index(b.customers, a.tenant)
+	r.of = b.keys.subjectOf(r, ev.Subject, a.tenant, a.once)
+	r.ev, r.since, r.came = *ev, b.now, b.now-unread
+	r.guard = b.keeper.guards(a)
+	b.reqs[r.id] = r
+	b.owed++
+	e.open[r.slot] = r
+	if e.known && b.keys.repeats(r) == nil || !b.link.identify(r) {
+		b.arrived(r)
+	}
+}
+
+// unknown follows the processor's word that it knows no such req: nobody sent it one, and whoever sends reqs that
+// nobody knows is no edge node.
+func (f *door) unknown(r *req) {
+	delete(r.edge.open, r.slot)
+	f.bad(r.edge, r.slot, false, r.ticket, r.id, account.Stranger, "no req of this machine")
+	f.b.answered(r)
+}
--- a/backend/trace_test.go
+++ b/backend/trace_test.go
@@ -137,7 +137,7 @@
 		s.b.box.Post(func() {
 			b := s.b
 			s.print("kept", "%d reqs, %d connections, %d strange, %d calls, %d wires, %d results, %d trials, %d bytes half read",
-				len(b.reqs), len(b.door.edges), len(b.link.strange), b.tier.inHand(), b.tier.connections(), len(b.keys.byID),
+				len(b.reqs), len(b.door.edges), len(b.link.unverified), b.tier.inHand(), b.tier.connections(), len(b.keys.byID),
 				len(b.link.trials), b.door.parts)
 		})
 	case "counters":
