--- a/cmd/frosthub/soak_test.go
+++ b/cmd/frosthub/soak_test.go
@@ -27,6 +27,7 @@
 	soakGrace   = 500 * time.Millisecond // after the notice
 	soakKill    = 3 * time.Second        // after the notice, as the platform's rules allow for that timeout
 	soakEach    = 8                      // faults a node
+	soakMemory  = 64                     // megabytes that a process is told it may hold
 	slackLate   = 400 * time.Millisecond // of an answer: the settings' 80 ms, the sockets' 50, and a machine that forty processes share
 	slackGrace  = 50 * time.Millisecond  // of a run past the grace: the sockets'
 	back        = 20 * time.Second       // for a node to serve again once all faults are over
@@ -110,7 +111,7 @@
 			s.Fatal(err)
 		}
 		n.KillAfter = soakKill
-		n.Box.StopMS, n.Box.GraceMS, n.Box.MemoryMB = 3700, int(soakGrace.Milliseconds()), 64
+		n.Box.StopMS, n.Box.GraceMS, n.Box.MemoryMB = 3700, int(soakGrace.Milliseconds()), soakMemory
 		n.Processor.Calls = func(id uint64, handler string) bool { return handler != "status" && id%3 == 0 }
 		s.nodes = append(s.nodes, n)
 		s.Cleanup(n.Close)
@@ -162,6 +163,9 @@
 			}
 		}
 		troubles = append(troubles, n.Troubles()...)
+		if kb := n.Box.Memory(); kb > soakMemory<<10 {
+			troubles = append(troubles, fmt.Sprintf("%s: %d KB at most, of %d MB", n.Name, kb, soakMemory))
+		}
 		if _, stack, panicked := strings.Cut(n.Box.Log(), "panic: "); panicked {
 			logged = append(logged, n.Name+": panic: "+stack[:min(len(stack), 3000)])
 		}
