--- a/internal/stand/link.go
+++ b/internal/stand/link.go
@@ -28,7 +28,7 @@
 	}
 	l := &Link{to: to, ln: ln, conns: map[net.Conn]bool{}}
 	l.wake = sync.NewCond(&l.mu)
-	go l.accept()
+	go acceptAll(ln, l.carry)
 	return l, nil
 }
 
@@ -75,16 +75,6 @@
 	l.Cut()
 }
 
-func (l *Link) accept() {
-	for {
-		c, err := l.ln.Accept()
-		if err != nil {
-			return
-		}
-		go l.carry(c)
-	}
-}
-
 func (l *Link) carry(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	l.mu.Lock()
@@ -127,3 +117,14 @@
 		}
 	}
 }
+
+// acceptAll hands each connection of a listener to serve, in a goroutine of its own, until it is closed.
+func acceptAll(ln net.Listener, serve func(net.Conn)) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go serve(c)
+	}
+}
--- a/internal/stand/proxy.go
+++ b/internal/stand/proxy.go
@@ -51,7 +51,7 @@
 	}
 	p := &Proxy{ln: ln, to: to, conns: map[string]*carried{}}
 	p.wake = sync.NewCond(&p.mu)
-	go p.accept()
+	go acceptAll(ln, p.carry)
 	return p, nil
 }
 
@@ -129,16 +129,6 @@
 	return c.farEnded, c.broken
 }
 
-func (p *Proxy) accept() {
-	for {
-		c, err := p.ln.Accept()
-		if err != nil {
-			return
-		}
-		go p.carry(c)
-	}
-}
-
 func (p *Proxy) carry(client net.Conn) {
 	p.mu.Lock()
 	to := p.to
--- a/internal/stand/tier.go
+++ b/internal/stand/tier.go
@@ -28,15 +28,7 @@
 		return nil, err
 	}
 	t := &Tier{ln: ln, random: rand.New(rand.NewPCG(seed, 3)), ran: map[uint64]int{}}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go t.serve(c)
-		}
-	}()
+	go acceptAll(ln, t.serve)
 	return t, nil
 }
 
--- a/lifecycle/permit.go
+++ b/lifecycle/permit.go
@@ -7,26 +7,23 @@
 
 // The verdicts.
 const (
-	Allowed       Verdict = iota
-	AfterGrace            // it was read after the grace that follows the notice
-	ProcessEnds           // the process closes: what is read is refused
-	NotReady              // nobody to run it yet
-	RequestOpen           // a request on the connection has no answer
-	HalfRead              // part of a request was read, its rest may be on the way
-	InputUnread           // bytes have come that were not looked at: there may be a request in them
-	OutputUnsent          // part of an answer was not handed to the system
-	MayHaveRun            // it may have run, and must not run twice
-	Given                 // it was answered before
-	WorkLeft              // something is still to be done
-	NobodyWaits           // its client has gone
-	StillAccepted         // connections are still accepted
+	Allowed      Verdict = iota
+	AfterGrace           // it was read after the grace that follows the notice
+	ProcessEnds          // the process closes: what is read is refused
+	RequestOpen          // a request on the connection has no answer
+	HalfRead             // part of a request was read, its rest may be on the way
+	InputUnread          // bytes have come that were not looked at: there may be a request in them
+	OutputUnsent         // part of an answer was not handed to the system
+	MayHaveRun           // it may have run, and must not run twice
+	Given                // it was answered before
+	WorkLeft             // something is still to be done
+	NobodyWaits          // its client has gone
 )
 
 // String says why in log lines.
 func (v Verdict) String() string {
-	return [...]string{"allowed", "read after the grace", "the process ends", "not ready", "a request is open", "a request is half read",
-		"input is unread", "output is unsent", "it may have run", "it was answered", "work is left", "nobody waits",
-		"connections are still accepted"}[v]
+	return [...]string{"allowed", "read after the grace", "the process ends", "a request is open", "a request is half read",
+		"input is unread", "output is unsent", "it may have run", "it was answered", "work is left", "nobody waits"}[v]
 }
 
 // Start decides whether what was read whole at a moment may start a run. After the notice only what was read within the grace may. When
@@ -47,9 +44,6 @@
 	return Allowed
 }
 
-// Wait decides whether a request may wait for others' word before it is decided on: there is no time for it near the end.
-func (p *Process) Wait() Verdict { return p.Take() }
-
 // Exit decides whether the process may exit now.
 func (p *Process) Exit(now time.Duration, left Work) Verdict {
 	if left.none() || now >= p.kill-ExitBefore {
--- a/lifecycle/process.go
+++ b/lifecycle/process.go
@@ -81,7 +81,7 @@
 	switch {
 	case p.phase == Serving, p.phase == Ended:
 		return false
-	case p.phase > Draining && left.none(), p.phase > Draining && now >= p.kill-ExitBefore:
+	case p.phase > Draining && p.Exit(now, left) == Allowed:
 		p.phase = Ended
 	case p.phase == Draining && now >= p.kill-ClosingBefore:
 		p.phase = Closing
