A reply is not sent again after a break of the link

Cause: processorLink.resyncRun sent the last reply of a run again if no notice about the run had been read when the link was resumed. A missing notice proves nothing: the run may have the reply and ask for its next call before the copy arrives, and `answer` names the run, not the call.

Ruled out: the upstream connections.

Change: the run is unconfirmed until the next notice about it. A reply that was never sent is sent when the link is back. Interrupts are no longer sent where the settings rule them out. Why this works: no reply is written twice, and a run starts again only after a notice that could not have been sent otherwise.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -67,12 +67,13 @@
 
 // handler is the configuration of one handler.
 type handler struct {
-	name          string
-	replayable    bool          // a request may safely run more than once
-	deduplicated  bool          // its requests carry a key that identifies repeats; each key runs once
-	repeatWindow  time.Duration // how long after the original a repeat is recognized
-	clientTimeout time.Duration // how long its clients wait for a response
-	weight        float64       // its value relative to other handlers
+	name           string
+	replayable     bool          // a request may safely run more than once
+	deduplicated   bool          // its requests carry a key that identifies repeats; each key runs once
+	repeatWindow   time.Duration // how long after the original a repeat is recognized
+	clientTimeout  time.Duration // how long its clients wait for a response
+	responseTarget time.Duration // time from arrival after which a result has little value
+	weight         float64       // its value relative to other handlers
 }
 
 // New returns a backend with the given configuration. It opens no files and no sockets; Serve does. If log is nil, the
@@ -130,13 +131,15 @@
 
 // newHandler returns the configuration of a handler with the given settings of the overload controller.
 func newHandler(settings *overload.Handler) handler {
+	clientTimeout := settings.ClientTimeout.Or(overload.DefaultClientTimeout)
 	return handler{
-		name:          settings.Name,
-		replayable:    settings.Idempotency == overload.Replayable,
-		deduplicated:  settings.Idempotency == overload.Deduplicated,
-		repeatWindow:  settings.Window,
-		clientTimeout: settings.ClientTimeout.Or(overload.DefaultClientTimeout),
-		weight:        settings.Value.Or(0),
+		name:           settings.Name,
+		replayable:     settings.Idempotency == overload.Replayable,
+		deduplicated:   settings.Idempotency == overload.Deduplicated,
+		repeatWindow:   settings.Window,
+		clientTimeout:  clientTimeout,
+		responseTarget: min(settings.ResponseTarget.Or(clientTimeout), clientTimeout),
+		weight:         settings.Value.Or(0),
 	}
 }
 
--- a/backend/counters.go
+++ b/backend/counters.go
@@ -42,12 +42,13 @@
 	CallsFailed    int64
 
 	// The link to the processor.
-	Links      int64 // connections established
-	LinksLost  int64
-	Rejects    int64 // commands that it rejected
-	Remarks    int64
-	Repeated   int64 // commands that were retried after the link was lost
-	GaugesLate int64 // timer events for which fresh gauges did not arrive in time
+	Links       int64 // connections established
+	LinksLost   int64
+	Rejects     int64 // commands that it rejected
+	Remarks     int64
+	Repeated    int64 // commands that were retried after the link was lost
+	Unconfirmed int64 // runs whose last command may have been lost with the link and was not retried
+	GaugesLate  int64 // timer events for which fresh gauges did not arrive in time
 
 	// The owner.
 	Reports    int64 // to the control plane
@@ -96,7 +97,7 @@
 			"failed", c.Requests.Failed, "open", c.Requests.Open, "mismatches", c.Mismatches, "pending", c.Pending,
 			"malformed", c.BadRequests, "health_checks", c.Checks, "unanswered", c.Unanswered),
 		slog.Group("runs", "started", c.Started, "cancelled", c.Stopped, "ended", c.Ended, "retried_commands", c.Repeated,
-			"taken_over", c.FailedOver, "handed_off", c.HandedOff),
+			"unconfirmed", c.Unconfirmed, "taken_over", c.FailedOver, "handed_off", c.HandedOff),
 		slog.Group("calls", "requested", c.CallsRequested, "started", c.Calls, "succeeded", c.CallsOK, "failed", c.CallsFailed),
 		slog.Group("processor_link", "established", c.Links, "lost", c.LinksLost, "rejected_commands", c.Rejects,
 			"remarks", c.Remarks, "late_gauges", c.GaugesLate),
--- a/backend/processor_commands.go
+++ b/backend/processor_commands.go
@@ -47,7 +47,11 @@
 	}
 }
 
+// sendInterrupt sends an interrupt for the run of r, unless the settings rule interrupts out.
 func (l *processorLink) sendInterrupt(r *request) {
+	if !l.backend.canCancel {
+		return
+	}
 	l.backend.scratch = processor.AppendInterrupt(l.backend.scratch[:0], r.wireID)
 	l.write(l.backend.scratch)
 }
@@ -61,10 +65,11 @@
 
 // sendCallReply sends the reply that is kept for r. If the link isn't ready, the resynchronization sends it later.
 func (l *processorLink) sendCallReply(r *request) {
-	r.tagBeforeCommand = l.lastTag
-	if !l.ready() {
+	r.replyUnsent = !l.ready()
+	if r.replyUnsent {
 		return
 	}
+	r.tagBeforeCommand = l.lastTag
 	l.backend.scratch = processor.AppendCallReply(l.backend.scratch[:0], r.wireID, r.callReply)
 	l.write(l.backend.scratch)
 }
--- a/backend/processor_link.go
+++ b/backend/processor_link.go
@@ -90,6 +90,7 @@
 
 	unverified []*request // requests whose verification by the processor is pending, in order
 	probeCount int        // number of requests whose start may be lost and is being probed
+	unconfirmedRuns
 }
 
 func (l *processorLink) init(b *Backend) {
@@ -119,6 +120,7 @@
 // onTimer carries out what is due on the link: the end of waits for the processor, and dials.
 func (l *processorLink) onTimer() {
 	b := l.backend
+	l.expireUnconfirmed()
 	if l.addressReplaced && l.conn != nil {
 		if b.now >= l.oldConnDeadline {
 			l.conn.Abort(conn.ErrClosedLocally) // the outcome of runs in flight there is unknown from now on
--- a/backend/processor_notices.go
+++ b/backend/processor_notices.go
@@ -19,7 +19,7 @@
 		l.onHello(&n)
 	case processor.Complete:
 		if r := b.requests[n.ID]; r != nil {
-			b.runEnded(r, n.Outcome, reasonForOutcome(n.Outcome), n.Elapsed, n.Body)
+			l.onComplete(r, &n)
 		}
 	case processor.CallRequest:
 		if r := b.requests[n.ID]; r != nil {
@@ -79,6 +79,7 @@
 // onCallRequest handles the notice that a run requests an upstream call.
 func (l *processorLink) onCallRequest(r *request, body []byte) {
 	b := l.backend
+	l.confirm(r)
 	r.runNoticeReceived = true
 	r.callReplied = false
 	r.callReply = nil
--- a/backend/processor_resync.go
+++ b/backend/processor_resync.go
@@ -20,12 +20,15 @@
 	return slices.SortedFunc(maps.Values(b.requests), func(x, y *request) int { return cmp.Compare(x.id, y.id) })
 }
 
-// resync retries the commands that may have been lost with the previous connection; ackedTag is the tag of the last query
-// that was answered on it. All notices that the processor retained have been received by now.
+// resync sends the commands that could not be sent before, and handles those that may have been lost with the previous
+// connection; ackedTag is the tag of the last query that was answered on it. All notices that the processor retained have
+// been received by now.
 //
 // A start that is not proved to have arrived is retried at once if the request is replayable. Otherwise the link waits
 // for a notice about the run, since a retried start could cross with the end of the run. Without a notice the run is
 // interrupted, and counts as never started if no notice follows that either. See probe.
+//
+// A reply to a call is never retried, since nothing proves that it was lost. See unconfirmedRuns.
 func (l *processorLink) resync(ackedTag uint64) {
 	for _, r := range l.backend.sortedRequests() {
 		if r.state.runInProgress() {
@@ -34,25 +37,33 @@
 	}
 }
 
-// resyncRun retries the last command about one run if the command may have been lost. See resync.
+// resyncRun sends or handles the last command about one run. See resync.
 func (l *processorLink) resyncRun(r *request, ackedTag uint64) {
 	b := l.backend
-	maybeLost := r.tagBeforeCommand >= ackedTag
+	if !r.startSent {
+		if b.isWanted(r) {
+			l.start(r)
+		} else {
+			b.runEnded(r, overload.NeverRan, accounting.NeverRan, 0, nil)
+		}
+		return
+	}
 	command := l.startCommand(r)
+	maybeLost := r.tagBeforeCommand >= ackedTag
 	switch {
-	case !r.startSent && !b.isWanted(r):
-		b.runEnded(r, overload.NeverRan, accounting.NeverRan, 0, nil)
-	case !r.startSent:
-		l.start(r)
+	case r.replyUnsent:
+		l.sendCallReply(r)
+	case r.noticeDeadline > 0: // unconfirmed since an earlier connection was lost
 	case maybeLost && !r.runNoticeReceived && !r.cancelRequested && lifecycle.CheckRetry(command) == lifecycle.Allowed:
 		l.retryStart(r, command, "the request is replayable")
 	case maybeLost && !r.runNoticeReceived:
 		l.beginProbe(r)
-	case r.cancelRequested:
-		l.cancel(r)
-	case r.callReplied && maybeLost:
-		l.logRetry(r, "answer", "no notice about the run has followed")
-		l.sendCallReply(r)
+		return
+	case maybeLost && r.callReplied:
+		l.awaitNotice(r)
+	}
+	if r.cancelRequested || r.noticeDeadline > 0 && r.restartWhenCancelled {
+		l.sendInterrupt(r)
 	}
 }
 
--- /dev/null
+++ b/backend/processor_resync_test.go
@@ -0,0 +1,178 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestReplyReachesOneCall guards against a reply that reaches the next call of its run: after a connection loss the
+// backend sent the reply again, although the run might have received it and requested another call since.
+func TestReplyReachesOneCall(t *testing.T) {
+	t.Parallel()
+	for _, idempotency := range []string{"fragile", "retryable"} {
+		t.Run(idempotency, func(t *testing.T) {
+			t.Parallel()
+			bed := newReadyTestbed(t, map[string]string{"status": idempotency})
+			client := bed.dialClient()
+			bed.startRun(client, 1)
+			bed.replyUnconfirmed()
+			bed.reconnectProcessor()
+			bed.serveCall("second call")
+			bed.completeRun(1)
+			client.expect("1" + succeededLine)
+			bed.expectNone("processor: answer")
+		})
+	}
+}
+
+// TestReplyLost guards against a run that waits for a lost reply for good: a replayable run is cancelled and starts again,
+// which sends no reply twice.
+func TestReplyLost(t *testing.T) {
+	t.Parallel()
+	bed := newReadyTestbed(t, nil)
+	client := bed.dialClient()
+	bed.startRun(client, 1)
+	bed.replyUnconfirmed()
+	bed.reconnectProcessor()
+	bed.passTime(runNoticeTimeout)
+	bed.expect("processor: interrupt 0000000000000001")
+	bed.step([]string{"processor", "notes", "complete", "0000000000000001", "halted", "5", "-"})
+	bed.expect(`processor: begin 0000000000000001 status ""`)
+	bed.serveCall("first call again")
+	bed.completeRun(1)
+	client.expect("1" + succeededLine)
+	bed.expectNone("processor: answer")
+	bed.expectNone("processor: begin")
+}
+
+// TestReplyLostInterruptCrossed checks that a run that requests its next call while its interrupt is in transit is not
+// started again, and that its request is answered.
+func TestReplyLostInterruptCrossed(t *testing.T) {
+	t.Parallel()
+	bed := newReadyTestbed(t, nil)
+	client := bed.dialClient()
+	bed.startRun(client, 1)
+	bed.replyUnconfirmed()
+	bed.reconnectProcessor()
+	bed.passTime(runNoticeTimeout)
+	bed.expect("processor: interrupt 0000000000000001")
+	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "second call"})
+	bed.expect(`tier: invoke 0000000000000001 "second call"`)
+	bed.step([]string{"processor", "notes", "complete", "0000000000000001", "halted", "5", "-"})
+	client.expect("1" + failedLine)
+	bed.expectNone("processor: begin")
+	bed.await(func() bool { return len(bed.backend.requests) == 0 && len(bed.backend.processor.unconfirmed) == 0 })
+}
+
+// TestConfirmedRunContinues checks that a run whose interrupt had no effect and that requests its next call is not
+// interrupted again when the link is lost once more.
+func TestConfirmedRunContinues(t *testing.T) {
+	t.Parallel()
+	bed := newReadyTestbed(t, nil)
+	client := bed.dialClient()
+	bed.startRun(client, 1)
+	bed.replyUnconfirmed()
+	bed.reconnectProcessor()
+	bed.passTime(runNoticeTimeout)
+	bed.expect("processor: interrupt 0000000000000001")
+	bed.serveCall("second call")
+	bed.awaitGauges(2) // proves that the reply has arrived
+	bed.reconnectProcessor()
+	bed.awaitGauges(1)
+	bed.completeRun(1)
+	client.expect("1" + succeededLine)
+	bed.expectNone("processor: interrupt")
+	bed.expectNone("processor: answer")
+}
+
+// TestUnconfirmedRunFails guards against a request that is never answered because its run sends no notice: it fails once
+// its response target has passed, and its run is not started again.
+func TestUnconfirmedRunFails(t *testing.T) {
+	t.Parallel()
+	for _, halt := range []string{"discard", "off"} {
+		t.Run(halt, func(t *testing.T) {
+			t.Parallel()
+			bed := newReadyTestbed(t, map[string]string{"status": "fragile", "halt": halt})
+			client := bed.dialClient()
+			bed.startRun(client, 1)
+			bed.replyUnconfirmed()
+			bed.reconnectProcessor()
+			bed.passTime(time.Minute) // the response target of the testbed
+			client.expect("1" + failedLine)
+			bed.await(func() bool { return len(bed.backend.requests) == 0 && len(bed.backend.processor.unconfirmed) == 0 })
+			bed.awaitGauges(1)
+			bed.expectNone("processor: begin")
+			bed.expectNone("processor: answer")
+			if halt == "off" {
+				bed.expectNone("processor: interrupt")
+			}
+		})
+	}
+}
+
+// TestReplyNotSentYet checks that a reply that arrives while there is no link is sent once the link is back, since it was
+// never sent before.
+func TestReplyNotSentYet(t *testing.T) {
+	t.Parallel()
+	bed := newReadyTestbed(t, map[string]string{"status": "fragile"})
+	client := bed.dialClient()
+	bed.startRun(client, 1)
+	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "call"})
+	bed.expect(`tier: invoke 0000000000000001 "call"`)
+	bed.step([]string{"processor", "breaks"})
+	bed.expect("processor: hello 1")
+	bed.step([]string{"tier", "replies", "0000000000000001", "reply"})
+	bed.await(func() bool { return bed.backend.requests[1].callReplied })
+	bed.expectNone("processor: answer")
+	bed.step([]string{"processor", "says", "hi warm 600000"})
+	bed.expect(`processor: answer 0000000000000001 "reply"`)
+	bed.completeRun(1)
+	client.expect("1" + succeededLine)
+	bed.expectNone("processor: answer")
+}
+
+// replyUnconfirmed has the run of request 1 make a call, whose reply is sent while the processor leaves queries unanswered.
+func (bed *testbed) replyUnconfirmed() {
+	bed.t.Helper()
+	bed.step([]string{"processor", "mute"})
+	bed.serveCall("first call")
+}
+
+// serveCall has the run of request 1 make a call, and waits until the processor has received the reply.
+func (bed *testbed) serveCall(body string) {
+	bed.t.Helper()
+	const id = "0000000000000001"
+	bed.step([]string{"processor", "notes", "ask", id, body})
+	bed.expect(fmt.Sprintf("tier: invoke %s %q", id, body))
+	bed.step([]string{"tier", "replies", id, "reply to", body})
+	bed.expect(fmt.Sprintf("processor: answer %s %q", id, "reply to "+body))
+}
+
+// reconnectProcessor breaks the link to the processor and waits until it is ready again.
+func (bed *testbed) reconnectProcessor() {
+	bed.t.Helper()
+	links := bed.backend.Counters().Links
+	bed.step([]string{"processor", "breaks"})
+	bed.await(func() bool { return bed.backend.stats.Links > links && bed.backend.processor.conn != nil })
+	bed.expect(fmt.Sprintf("processor: hello %d", bed.noticeCount))
+	bed.step([]string{"processor", "mute", "off"})
+	bed.step([]string{"processor", "says", "hi warm 600000"})
+	bed.await(func() bool { return bed.backend.processor.ready() })
+}
+
+// awaitGauges waits until the processor has answered n more queries for the gauges.
+func (bed *testbed) awaitGauges(n uint64) {
+	bed.t.Helper()
+	acked := uint64(0)
+	bed.runInTurn(func() { acked = bed.backend.processor.ackedTag })
+	bed.await(func() bool { return bed.backend.processor.ackedTag >= acked+n })
+}
+
+// passTime has the link act as if the given time had passed.
+func (bed *testbed) passTime(elapsed time.Duration) {
+	bed.runInTurn(func() {
+		bed.backend.now += elapsed
+		bed.backend.processor.expireUnconfirmed()
+	})
+}
--- a/backend/request.go
+++ b/backend/request.go
@@ -31,10 +31,15 @@
 	probeDeadline     time.Duration // end of the present step of a probe for a lost start command; 0 for no probe
 	probeTag          uint64        // gauge query after probeDeadline whose answer proves that the run never started; 0 before that
 
+	// Unconfirmed run, see unconfirmedRuns.
+	noticeDeadline       time.Duration // until when a notice about the run is awaited; 0 if the run is not unconfirmed
+	restartWhenCancelled bool          // the run was interrupted in order to start again
+
 	// Upstream call of the run.
 	callBody           []byte        // body of the call that the run requested
 	callReply          []byte        // reply to the call, kept until the next notice about the run
 	callReplied        bool          // callReply is valid
+	replyUnsent        bool          // callReply was not sent yet, because the link was not ready
 	call               *upstreamCall // call in flight; nil for none
 	callFailed         bool          // the last call failed
 	callOutcomeUnknown bool          // the last call may have taken effect all the same
@@ -156,6 +161,7 @@
 	}
 	awaitsDisk := r.guard != nil && b.guard.recordEnd(r, outcome, reason, result)
 	b.upstream.cancel(r)
+	b.processor.confirm(r)
 	if r.probeDeadline > 0 {
 		b.processor.endProbe(r)
 	}
--- a/backend/testbed_test.go
+++ b/backend/testbed_test.go
@@ -130,7 +130,7 @@
 
 const testConfig = `{"name":"n3","listen":"%s","processor":"%s","control":"%s","backend":"%s","seed":"8c1f30d27a5be964",
 "stop_ms":%s,"limits":{"cores":1.0,"memory_mb":%s,"sockets":%s},"settings":{"servers":2,"tickUs":1000,
-"classes":[{"name":"status","credit":1,"giveUpUs":%s,"goalTimeUs":%s,"idempotency":"retryable"},
+"classes":[{"name":"status","credit":1,"giveUpUs":%s,"goalTimeUs":%s,"idempotency":"%s"},
 {"name":"file-claim","credit":3,"giveUpUs":1500000,"goalTimeUs":900000,"idempotency":"%s","windowUs":60000000}],
 "tenants":[{"name":"north","quotaPerS":%s},{"name":"south","quotaPerS":50}],
 "familyInfo":{"cores":2,"downstream":"tier","halt":"%s","keyKb":10,"memoryKb":100000,"runFactor":8,"senders":2,
@@ -157,6 +157,7 @@
 		option("sockets", "200"),
 		option("timeout", "1500000"),
 		option("target", "900000"),
+		option("status", "retryable"),
 		option("claim", "fragile"),
 		option("north", "1000"),
 		option("halt", "discard"),
