What must not run twice is never begun again without a proof

Cause: processorLink.probe and onStartLost took a start for lost if no notice about the run came for 0.1 s, if an interrupt brought none for 0.1 s, and if one more query was answered. With halt off every interrupt is rejected; with discard it has no effect while the cores are stalled. The run could be in progress, and end just before the second begin came.

Ruled out: a second request (each id is sent once), and a gap in the notices (its runs fail and are not started again).

Change: the start of a request that must not run twice is sent again only if it was never written. Otherwise the run is unconfirmed, like one whose reply may be lost, and fails at its response target unless a notice shows what became of it. The probe is removed. Why this works: the processor receives at most one begin of such a request.

--- a/backend/processor_link.go
+++ b/backend/processor_link.go
@@ -54,7 +54,7 @@
 //
 //	down       → greeting    a connection was dialed (useConn)
 //	greeting   → resyncing   the processor's hello was received (onHello)
-//	resyncing  → ready       the query sent on hello was answered; commands that may be lost are retried (resync)
+//	resyncing  → ready       the query sent on hello was answered (resync)
 //	ready      → quiescing   a replacement connection was dialed (quiesce)
 //	quiescing  → ready       the replacement was closed (cancelReplacement)
 //	quiescing  → greeting    the last query was answered, or quiesceTimeout has passed (switchToReplacement)
@@ -89,7 +89,6 @@
 	pendingChecks []uint64 // tags of unanswered deep health checks
 
 	unverified []*request // requests whose verification by the processor is pending, in order
-	probeCount int        // number of requests whose start may be lost and is being probed
 	unconfirmedRuns
 }
 
--- a/backend/processor_notices.go
+++ b/backend/processor_notices.go
@@ -110,11 +110,6 @@
 		l.resyncTag = 0
 		l.resync(previousAckedTag)
 	}
-	if l.probeCount > 0 {
-		for _, r := range b.sortedRequests() {
-			l.probe(r, n.Tag)
-		}
-	}
 }
 
 // onReject handles the rejection of a command. The processor does not recognize the request, so nothing was run.
--- a/backend/processor_resync.go
+++ b/backend/processor_resync.go
@@ -4,17 +4,12 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"frosthub/accounting"
 	"frosthub/lifecycle"
 	"frosthub/overload"
 )
 
-// runProbeTimeout limits the wait for a notice about a run whose start may be lost, and then the wait for a notice that
-// follows its interrupt. It is twenty ticks of the processor.
-const runProbeTimeout = 100 * time.Millisecond
-
 // sortedRequests returns all requests ordered by id, so that iteration is deterministic.
 func (b *Backend) sortedRequests() []*request {
 	return slices.SortedFunc(maps.Values(b.requests), func(x, y *request) int { return cmp.Compare(x.id, y.id) })
@@ -24,11 +19,8 @@
 // connection; ackedTag is the tag of the last query that was answered on it. All notices that the processor retained have
 // been received by now.
 //
-// A start that is not proved to have arrived is retried at once if the request is replayable. Otherwise the link waits
-// for a notice about the run, since a retried start could cross with the end of the run. Without a notice the run is
-// interrupted, and counts as never started if no notice follows that either. See probe.
-//
-// A reply to a call is never retried, since nothing proves that it was lost. See unconfirmedRuns.
+// The start of a replayable request is sent again if it may have been lost: at worst the request runs twice. No other
+// command is, since nothing proves that it was lost. See unconfirmedRuns.
 func (l *processorLink) resync(ackedTag uint64) {
 	for _, r := range l.backend.sortedRequests() {
 		if r.state.runInProgress() {
@@ -56,10 +48,7 @@
 	case r.noticeDeadline > 0: // unconfirmed since an earlier connection was lost
 	case maybeLost && !r.runNoticeReceived && !r.cancelRequested && lifecycle.CheckRetry(command) == lifecycle.Allowed:
 		l.retryStart(r, command, "the request is replayable")
-	case maybeLost && !r.runNoticeReceived:
-		l.beginProbe(r)
-		return
-	case maybeLost && r.callReplied:
+	case maybeLost && (!r.runNoticeReceived || r.callReplied):
 		l.awaitNotice(r)
 	}
 	if r.cancelRequested || r.noticeDeadline > 0 && r.restartWhenCancelled {
@@ -67,57 +56,6 @@
 	}
 }
 
-// beginProbe starts the probe of a run whose start may be lost. See probe.
-func (l *processorLink) beginProbe(r *request) {
-	if r.cancelRequested {
-		l.cancel(r)
-	}
-	if r.probeDeadline == 0 { // otherwise the connection was lost again during the probe
-		l.probeCount++
-	}
-	r.probeTag = 0
-	r.probeDeadline = l.backend.now + runProbeTimeout
-}
-
-// probe takes the next step in determining whether a run was ever started; ackedTag is the tag of the query that was
-// just answered. The probe waits for a notice about the run, then for one that follows its interrupt. If a query sent after
-// that is answered and still no notice was received, the start was lost.
-func (l *processorLink) probe(r *request, ackedTag uint64) {
-	now := l.backend.now
-	switch {
-	case r.probeDeadline == 0 || now < r.probeDeadline:
-	case r.runNoticeReceived: // the run is in progress, or the notice of its end follows
-		l.endProbe(r)
-	case !r.cancelRequested:
-		l.cancel(r)
-		r.probeDeadline = now + runProbeTimeout
-	case r.probeTag == 0:
-		r.probeTag = l.lastTag + 1 // the next query
-	case ackedTag >= r.probeTag:
-		l.onStartLost(r)
-	}
-}
-
-// endProbe ends the probe of a run, whatever its result.
-func (l *processorLink) endProbe(r *request) {
-	l.probeCount--
-	r.probeTag = 0
-	r.probeDeadline = 0
-}
-
-// onStartLost retries a start that is proved lost, or ends the request if no client waits for it.
-func (l *processorLink) onStartLost(r *request) {
-	l.endProbe(r)
-	r.cancelRequested = false
-	command := l.startCommand(r)
-	command.NeverRan = true
-	if lifecycle.CheckRetry(command) == lifecycle.ClientGone {
-		l.backend.runEnded(r, overload.NeverRan, accounting.NeverRan, 0, nil)
-		return
-	}
-	l.retryStart(r, command, "the request is proved never to have run")
-}
-
 // onNoticesLost handles the loss of notices. The outcomes of the runs stay unknown, so the runs are interrupted and fail
 // without a retry.
 func (l *processorLink) onNoticesLost() {
--- a/backend/processor_resync_test.go
+++ b/backend/processor_resync_test.go
@@ -90,23 +90,49 @@
 // its response target has passed, and its run is not started again.
 func TestUnconfirmedRunFails(t *testing.T) {
 	t.Parallel()
-	for _, halt := range []string{"discard", "off"} {
+	for _, lost := range []string{"start", "reply"} {
+		for _, halt := range []string{"discard", "off"} {
+			t.Run(lost+"/"+halt, func(t *testing.T) {
+				t.Parallel()
+				bed := newReadyTestbed(t, map[string]string{"status": "fragile", "halt": halt})
+				client := bed.dialClient()
+				bed.startUnconfirmed(client)
+				if lost == "reply" {
+					bed.replyUnconfirmed()
+				}
+				bed.reconnectProcessor()
+				bed.passTime(time.Minute) // the response target of the testbed
+				client.expect("1" + failedLine)
+				bed.await(func() bool { return len(bed.backend.requests) == 0 && len(bed.backend.processor.unconfirmed) == 0 })
+				bed.awaitGauges(1)
+				bed.expectNone("processor: begin")
+				bed.expectNone("processor: answer")
+				if halt == "off" {
+					bed.expectNone("processor: interrupt")
+				}
+			})
+		}
+	}
+}
+
+// TestStartNotRepeated guards against a request that runs twice: the backend started a run again because no notice had
+// followed the start and an interrupt. Both are missing too if the run is in progress and interrupts have no effect, since
+// the settings rule them out or the cores are stalled; the run may then end just before the second start arrives.
+func TestStartNotRepeated(t *testing.T) {
+	t.Parallel()
+	for _, halt := range []string{"off", "discard"} {
 		t.Run(halt, func(t *testing.T) {
 			t.Parallel()
 			bed := newReadyTestbed(t, map[string]string{"status": "fragile", "halt": halt})
 			client := bed.dialClient()
-			bed.startRun(client, 1)
-			bed.replyUnconfirmed()
+			bed.startUnconfirmed(client)
 			bed.reconnectProcessor()
-			bed.passTime(time.Minute) // the response target of the testbed
-			client.expect("1" + failedLine)
-			bed.await(func() bool { return len(bed.backend.requests) == 0 && len(bed.backend.processor.unconfirmed) == 0 })
-			bed.awaitGauges(1)
+			bed.awaitGauges(20) // longer than the wait after which the start counted as lost
+			bed.reconnectProcessor()
+			bed.awaitGauges(20)
 			bed.expectNone("processor: begin")
-			bed.expectNone("processor: answer")
-			if halt == "off" {
-				bed.expectNone("processor: interrupt")
-			}
+			bed.completeRun(1)
+			client.expect("1" + succeededLine)
 		})
 	}
 }
@@ -132,6 +158,15 @@
 	bed.expectNone("processor: answer")
 }
 
+// startUnconfirmed starts the run of request 1 while the processor leaves queries unanswered, so that nothing proves that
+// the start has arrived.
+func (bed *testbed) startUnconfirmed(client *testClient) {
+	bed.t.Helper()
+	bed.serveRequest(client, 2) // verifies the connection
+	bed.step([]string{"processor", "mute"})
+	bed.startRun(client, 1)
+}
+
 // replyUnconfirmed has the run of request 1 make a call, whose reply is sent while the processor leaves queries unanswered.
 func (bed *testbed) replyUnconfirmed() {
 	bed.t.Helper()
--- a/backend/processor_unconfirmed.go
+++ b/backend/processor_unconfirmed.go
@@ -14,12 +14,13 @@
 // to start again. It is also the shortest wait before an unconfirmed run fails.
 const runNoticeTimeout = 100 * time.Millisecond
 
-// unconfirmedRuns holds the runs whose last command, the reply to a call, may have been lost with a connection to the
-// processor.
+// unconfirmedRuns holds the runs whose last command, the start of the run or the reply to its call, may have been lost with
+// a connection to the processor.
 //
-// Only a notice about the run shows what became of the reply. A missing notice proves nothing, since a run may work for
-// any time before its next notice. If the reply were sent again, it could reach the next call of the run. These are the
-// transitions of an unconfirmed run:
+// Only a notice about the run shows what became of the command. A missing notice proves nothing, since a run may work for
+// any time before its next notice. Nor does an interrupt without effect: the settings may rule interrupts out, and they have
+// no effect while the processor's cores are stalled. If the command were sent again, a second run could start after the end
+// of the first one, or the reply could reach the next call of the run. These are the transitions of an unconfirmed run:
 //
 //	unconfirmed  → confirmed    a notice about the run was received (onCallRequest, runEnded)
 //	unconfirmed  → interrupted  runNoticeTimeout has passed, and the run may start again (expireUnconfirmed)
@@ -96,7 +97,7 @@
 // failUnconfirmed ends a request whose run was not confirmed in time. The outcome of the run stays unknown.
 func (l *processorLink) failUnconfirmed(r *request) {
 	handler := l.backend.handlers[r.handler].name
-	l.backend.logLimited("processor command unconfirmed", "id", r.wireID, "handler", handler)
+	l.backend.logLimited("processor command unconfirmed", "id", r.wireID, "handler", handler, "call_replied", r.callReplied)
 	l.cancel(r)
 	l.backend.runEnded(r, overload.Failed, accounting.ProcessorLost, 0, nil)
 }
--- a/backend/request.go
+++ b/backend/request.go
@@ -24,12 +24,10 @@
 	keepOpen bool        // the connection stays open after the response
 
 	// Run.
-	startSent         bool          // the begin command was written
-	runNoticeReceived bool          // the processor has sent a notice about the run
-	tagBeforeCommand  uint64        // last query before the last command; the answer to a later gauge query proves that the command arrived
-	cancelRequested   bool          // the run is to be cancelled
-	probeDeadline     time.Duration // end of the present step of a probe for a lost start command; 0 for no probe
-	probeTag          uint64        // gauge query after probeDeadline whose answer proves that the run never started; 0 before that
+	startSent         bool   // the begin command was written
+	runNoticeReceived bool   // the processor has sent a notice about the run
+	tagBeforeCommand  uint64 // last query before the last command; the answer to a later gauge query proves that the command arrived
+	cancelRequested   bool   // the run is to be cancelled
 
 	// Unconfirmed run, see unconfirmedRuns.
 	noticeDeadline       time.Duration // until when a notice about the run is awaited; 0 if the run is not unconfirmed
@@ -162,9 +160,6 @@
 	awaitsDisk := r.guard != nil && b.guard.recordEnd(r, outcome, reason, result)
 	b.upstream.cancel(r)
 	b.processor.confirm(r)
-	if r.probeDeadline > 0 {
-		b.processor.endProbe(r)
-	}
 	b.events = append(b.events, overload.Event{Kind: overload.Ended, ID: r.id, Outcome: outcome, Took: took})
 	if awaitsDisk {
 		return
