A notice that precedes the processor's hello shows no gap

Cause: acceptNotice took a notice that came on a new link before the answer to hello for a proof that those before it were lost.

Ruled out: unconfirmed runs. The failed requests were answered some 220 ms after their start, not at their response target of 1.9 s, all at once.

Change: numbered notices are dropped until the hello was received.

Measured: TestNoticeBeforeHello failed on the code before and passes.

--- a/backend/processor_notices.go
+++ b/backend/processor_notices.go
@@ -38,15 +38,16 @@
 }
 
 // acceptNotice checks the number of a numbered notice, and reports whether the notice is new. A gap in the numbers makes
-// the outcomes of all runs unknown.
+// the outcomes of all runs unknown. A notice that precedes the processor's hello shows no gap and is dropped: the
+// processor sends it again with all others that follow the hello.
 func (l *processorLink) acceptNotice(n *processor.Notice) bool {
 	switch n.Kind {
 	case processor.Complete, processor.CallRequest, processor.Remark:
 	default:
 		return true // not numbered
 	}
-	if n.Number <= l.lastNotice {
-		return false // received before the connection was lost
+	if !l.helloReceived || n.Number <= l.lastNotice {
+		return false // it follows the hello, or was received before the connection was lost
 	}
 	if n.Number != l.lastNotice+1 {
 		l.backend.logLimited("processor notices lost", "last_number", l.lastNotice, "received_number", n.Number)
--- a/backend/processor_resync_test.go
+++ b/backend/processor_resync_test.go
@@ -158,6 +158,20 @@
 	bed.expectNone("processor: answer")
 }
 
+// TestNoticeBeforeHello guards against a new connection on which a notice precedes the processor's hello: the backend took
+// the gap in the numbers for a loss of notices, and failed all runs.
+func TestNoticeBeforeHello(t *testing.T) {
+	t.Parallel()
+	bed := newReadyTestbed(t, map[string]string{"status": "fragile"})
+	client := bed.dialClient()
+	bed.startRun(client, 1)
+	bed.step([]string{"processor", "breaks"})
+	bed.expect("processor: hello 0")
+	second := "complete 2 0000000000000001 ok 5 3\r\ntwo\r\n"
+	bed.processor.write(second + "hi warm 600000\r\nremark 1 first\r\n" + second)
+	client.expect("1" + succeededLine)
+}
+
 // startUnconfirmed starts the run of request 1 while the processor leaves queries unanswered, so that nothing proves that
 // the start has arrived.
 func (bed *testbed) startUnconfirmed(client *testClient) {
