A late duplicate of a reply can't reach the next call of its request

Cause: a reply of the next tier names the request, not the call. proxyUpstream kept a request's next call off the connection of its last one by remembering only the last request of each connection. Once another request had used the connection, the next call could go there, and a duplicate of the earlier reply that arrived then was passed to the run. release did not look at all.

Change: a request remembers the connections that carried its calls, and none of them carries another (proxyConn.mayCarry). Where that leaves no connection within the limit, an idle one, or the next to become idle, is replaced.

TestConnectionLimitReplaces is new with the change.

--- a/backend/request.go
+++ b/backend/request.go
@@ -39,6 +39,7 @@
 	callReplied        bool          // callReply is valid
 	replyUnsent        bool          // callReply was not sent yet, because the link was not ready
 	call               *upstreamCall // call in flight; nil for none
+	callConns          []*proxyConn  // connections that carried its calls, see proxyConn.mayCarry
 	callFailed         bool          // the last call failed
 	callOutcomeUnknown bool          // the last call may have taken effect all the same
 
--- a/backend/upstream_crossing_test.go
+++ b/backend/upstream_crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -130,3 +131,51 @@
 	bed.await(func() bool { return len(bed.backend.requests) == 0 })
 	bed.expectNone("processor: answer")
 }
+
+// TestDuplicateReplyLate guards against a late duplicate of a reply that is taken for the reply to the next call of the
+// same request: a connection carried that call too if it had carried the call of another request in between.
+func TestDuplicateReplyLate(t *testing.T) {
+	t.Parallel()
+	bed := newReadyTestbed(t, nil)
+	client := bed.dialClient()
+	bed.startRun(client, 1)
+	bed.serveCall("first call")
+	bed.startRun(client, 2)
+	bed.step([]string{"processor", "notes", "ask", "0000000000000002", "call"})
+	bed.expect(`tier: invoke 0000000000000002 "call"`)
+	bed.step([]string{"tier", "replies", "0000000000000002", "reply"})
+	bed.expect(`processor: answer 0000000000000002 "reply"`)
+	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "second call"})
+	bed.expect(`tier: invoke 0000000000000001 "second call"`)
+	release := bed.holdOwner()
+	// On the connection of the first call, ahead of the reply to the second one.
+	bed.upstream.write("0000000000000002 ok 5\r\nreply\r\n0000000000000001 ok 4\r\nlate\r\n")
+	bed.awaitOwnerInput()
+	release()
+	bed.step([]string{"tier", "replies", "0000000000000001", "second reply"})
+	bed.expect(`processor: answer 0000000000000001 "second reply"`)
+	bed.expectNone("processor: answer")
+}
+
+// TestConnectionLimitReplaces checks that a call that no connection may carry is sent at the connection limit too: on a
+// connection that replaces an idle one, or one that becomes idle.
+func TestConnectionLimitReplaces(t *testing.T) {
+	t.Parallel()
+	bed := newReadyTestbed(t, map[string]string{"sockets": "32"})
+	const limit = 4 // an eighth of the sockets
+	client := bed.dialClient()
+	bed.startRun(client, 1)
+	for range limit + 1 { // the last one replaces an idle connection
+		bed.serveCall("call")
+	}
+	for slot := uint16(2); slot < 2+limit; slot++ {
+		bed.startRun(client, slot)
+		bed.step([]string{"processor", "notes", "ask", fmt.Sprintf("%016x", slot), "call"})
+		bed.expect(fmt.Sprintf(`tier: invoke %016x "call"`, slot))
+	}
+	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "late call"})
+	bed.await(func() bool { return bed.backend.requests[1].state == stateCalling })
+	bed.step([]string{"tier", "replies", "0000000000000002", "reply"}) // its connection has carried a call of request 1
+	bed.expect(`tier: invoke 0000000000000001 "late call"`)
+	bed.await(func() bool { return bed.backend.upstream.connectionCount() == limit })
+}
--- a/backend/upstream_proxy.go
+++ b/backend/upstream_proxy.go
@@ -39,14 +39,18 @@
 
 // proxyConn is one connection to the proxy.
 type proxyConn struct {
-	conn        *conn.Conn
-	calls       map[uint64]*upstreamCall // in flight on the connection, by request id
-	lastRequest uint64                   // request of the last call: a duplicate of its reply may still arrive
-	usedAt      time.Duration
-	retired     bool          // carries no further calls
-	closeAt     time.Duration // when it is closed, even with calls in flight; 0 for never
+	conn    *conn.Conn
+	calls   map[uint64]*upstreamCall // in flight on the connection, by request id
+	usedAt  time.Duration
+	retired bool          // carries no further calls
+	closeAt time.Duration // when it is closed, even with calls in flight; 0 for never
 }
 
+// mayCarry reports whether the connection may carry the next call of r. It carries one call of each request at most: a
+// reply names the request and not the call, so a late duplicate of the reply to an earlier call would be taken for the
+// reply to the next one.
+func (c *proxyConn) mayCarry(r *request) bool { return !c.retired && !slices.Contains(r.callConns, c) }
+
 func newProxyUpstream(b *Backend) *proxyUpstream {
 	return &proxyUpstream{
 		upstreamCalls: newUpstreamCalls(b),
@@ -68,12 +72,13 @@
 }
 
 // assignConn sends a call on an idle connection. If there is none, it queues the call and dials a new connection, or at
-// the connection limit sends the call on the connection with the fewest calls.
+// the connection limit sends the call on the connection with the fewest calls. If no connection may carry the call, the
+// one that was idle for longest is replaced.
 func (u *proxyUpstream) assignConn(call *upstreamCall) {
 	b := u.backend
 	for i := len(u.idle) - 1; i >= 0; i-- {
 		connection := u.idle[i]
-		if connection.lastRequest != call.request.id && b.now-connection.usedAt < u.maxIdle {
+		if connection.mayCarry(call.request) && b.now-connection.usedAt < u.maxIdle {
 			u.send(connection, call)
 			return
 		}
@@ -83,19 +88,21 @@
 		u.dial()
 		return
 	}
-	least := u.leastLoaded(call.request.id)
-	if least == nil {
-		u.queue = append(u.queue, call) // all connections are being dialed, are retired or had this request last
+	if least := u.leastLoaded(call.request); least != nil {
+		u.send(least, call)
 		return
 	}
-	u.send(least, call)
+	u.queue = append(u.queue, call)
+	if len(u.idle) > 0 {
+		u.replace(u.idle[0])
+	}
 }
 
-// leastLoaded returns the connection with the fewest calls among those that may carry a call of the request, or nil.
-func (u *proxyUpstream) leastLoaded(requestID uint64) *proxyConn {
+// leastLoaded returns the connection with the fewest calls among those that may carry the next call of r, or nil.
+func (u *proxyUpstream) leastLoaded(r *request) *proxyConn {
 	var least *proxyConn
 	for candidate := range u.conns { // which of several equally loaded ones is used does not matter
-		if candidate.retired || candidate.lastRequest == requestID {
+		if !candidate.mayCarry(r) {
 			continue
 		}
 		if least == nil || len(candidate.calls) < len(least.calls) {
@@ -166,17 +173,40 @@
 	return nil
 }
 
-// release sends the next call of the queue on a connection without calls, or marks the connection idle. It closes a
-// retired connection.
+// dequeueFor removes and returns the first call of the queue that has not ended and that the connection may carry, or nil
+// if there is none.
+func (u *proxyUpstream) dequeueFor(connection *proxyConn) *upstreamCall {
+	u.queue = slices.DeleteFunc(u.queue, func(call *upstreamCall) bool { return call.request.call != call })
+	for i, call := range u.queue {
+		if connection.mayCarry(call.request) {
+			u.queue = slices.Delete(u.queue, i, i+1)
+			return call
+		}
+	}
+	return nil
+}
+
+// replace closes a connection without calls that may carry no call of the queue, and dials another one.
+func (u *proxyUpstream) replace(connection *proxyConn) {
+	u.close(connection)
+	u.dialMore()
+}
+
+// release sends the next call of the queue on a connection without calls, or marks the connection idle if the queue is
+// empty. It closes a retired connection, and replaces one that may carry no call of the queue.
 func (u *proxyUpstream) release(connection *proxyConn) {
 	if connection.retired {
 		u.close(connection)
 		return
 	}
-	if call := u.dequeue(); call != nil {
+	if call := u.dequeueFor(connection); call != nil {
 		u.send(connection, call)
 		return
 	}
+	if len(u.queue) > 0 {
+		u.replace(connection)
+		return
+	}
 	u.idle = append(u.idle, connection)
 }
 
@@ -189,7 +219,7 @@
 	call.connIdleTime = b.now - connection.usedAt
 	call.queuedBefore = connection.conn.QueuedTotal()
 	call.proxyConn = connection
-	connection.lastRequest = r.id
+	r.callConns = append(r.callConns, connection)
 	connection.usedAt = b.now
 	connection.calls[r.id] = call
 	b.scratch = upstreamproto.AppendInvoke(b.scratch[:0], r.wireID, call.deadline-b.now, r.callBody)
