Commands that waited for a new link are sent if that link closes unused

Cause: while a replacement of the processor's link waits for its switch, starts and replies are held for the resynchronization. If the replacement closed before the switch, cancelReplacement went on with the old link and nobody sent them: the runs waited for the next break of the link, or for their deadlines.

Change: cancelReplacement sends what was never sent. The part of resyncRun that does the same is shared (sendUnsentCommand). A cancelled run whose start was never sent is interrupted after its start; before, it ran on until the controller repeated the cancellation.

Measured: TestReplacementCloses failed on the code before and passes.

--- a/backend/processor_link.go
+++ b/backend/processor_link.go
@@ -189,11 +189,15 @@
 	l.backend.wakeBy(l.quiesceDeadline)
 }
 
-// cancelReplacement drops a closed replacement and continues with the present connection.
+// cancelReplacement drops a closed replacement and continues with the present connection. It sends the commands that
+// waited for the replacement.
 func (l *processorLink) cancelReplacement() {
 	l.replacement = nil
 	l.quiesceTag = 0
 	l.scheduleRedial()
+	if l.ready() {
+		l.sendUnsent()
+	}
 }
 
 // switchToReplacement makes the replacement the connection of the link and closes the previous one.
--- a/backend/processor_resync.go
+++ b/backend/processor_resync.go
@@ -29,29 +29,45 @@
 	}
 }
 
-// resyncRun sends or handles the last command about one run. See resync.
-func (l *processorLink) resyncRun(r *request, ackedTag uint64) {
-	b := l.backend
-	if !r.startSent {
-		if b.isWanted(r) {
-			l.start(r)
-		} else {
-			b.runEnded(r, overload.NeverRan, accounting.NeverRan, 0, nil)
+// sendUnsent sends the commands that could not be sent while the link was not ready.
+func (l *processorLink) sendUnsent() {
+	for _, r := range l.backend.sortedRequests() {
+		if r.state.runInProgress() {
+			l.sendUnsentCommand(r)
 		}
-		return
 	}
-	command := l.startCommand(r)
-	maybeLost := r.tagBeforeCommand >= ackedTag
+}
+
+// sendUnsentCommand sends the start of a run, or the reply to its call, if it was not sent before, and reports whether
+// that was so. A start that no client waits for any more ends the request instead.
+func (l *processorLink) sendUnsentCommand(r *request) (wasUnsent bool) {
 	switch {
+	case !r.startSent && l.backend.isWanted(r):
+		l.start(r)
+	case !r.startSent:
+		l.backend.runEnded(r, overload.NeverRan, accounting.NeverRan, 0, nil)
 	case r.replyUnsent:
 		l.sendCallReply(r)
+	default:
+		return false
+	}
+	return true
+}
+
+// resyncRun sends or handles the last command about one run. See resync.
+func (l *processorLink) resyncRun(r *request, ackedTag uint64) {
+	command := l.startCommand(r)
+	maybeLost := r.tagBeforeCommand >= ackedTag
+	switch {
+	case l.sendUnsentCommand(r):
 	case r.noticeDeadline > 0: // unconfirmed since an earlier connection was lost
 	case maybeLost && !r.runNoticeReceived && !r.cancelRequested && lifecycle.CheckRetry(command) == lifecycle.Allowed:
 		l.retryStart(r, command, "the request is replayable")
 	case maybeLost && (!r.runNoticeReceived || r.callReplied):
 		l.awaitNotice(r)
 	}
-	if r.cancelRequested || r.noticeDeadline > 0 && r.restartWhenCancelled {
+	restarting := r.noticeDeadline > 0 && r.restartWhenCancelled
+	if r.startSent && (r.cancelRequested || restarting) {
 		l.sendInterrupt(r)
 	}
 }
--- a/backend/processor_resync_test.go
+++ b/backend/processor_resync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -172,6 +173,34 @@
 	client.expect("1" + succeededLine)
 }
 
+// TestReplacementCloses guards against a start and a reply that are never sent: they waited for a replacement of the
+// connection, which was closed before it was used.
+func TestReplacementCloses(t *testing.T) {
+	t.Parallel()
+	bed := newReadyTestbed(t, nil)
+	client := bed.dialClient()
+	bed.startRun(client, 1)
+	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "call"})
+	bed.expect(`tier: invoke 0000000000000001 "call"`)
+	link := &bed.backend.processor
+	bed.runInTurn(func() {
+		link.quiesceTag = math.MaxUint64 // stands for a query that the processor does not answer
+		link.quiesceDeadline = link.backend.now + time.Minute
+	})
+	bed.step([]string{"tier", "replies", "0000000000000001", "reply"})
+	client.send(fastcgiRequest(2, nil))
+	bed.await(func() bool {
+		waiting := bed.backend.requests[2]
+		return bed.backend.requests[1].replyUnsent && waiting != nil && waiting.state == stateRunning && !waiting.startSent
+	})
+	bed.expectNone("processor: answer")
+	bed.runInTurn(link.cancelReplacement)
+	bed.expect(`processor: answer 0000000000000001 "reply"`)
+	bed.expect(`processor: begin 0000000000000002 status ""`)
+	bed.completeRun(1)
+	client.expect("1" + succeededLine)
+}
+
 // startUnconfirmed starts the run of request 1 while the processor leaves queries unanswered, so that nothing proves that
 // the start has arrived.
 func (bed *testbed) startUnconfirmed(client *testClient) {
