The fault soak checks that each run gets the replies to its own calls

The double of the processor made one call a run at most and did not look at the reply, and that of the upstream replied "ok" to every call.

Change: runs of the double may make a second call after their work, call bodies name the request and the call, the upstream repeats the body, and replies to another call are recorded. Calls of claims are counted one by one, where before a second call of any kind counted as a repetition: the check is as strict for each call. A debug build checks that an unconfirmed run is in progress.

--- a/backend/audit.go
+++ b/backend/audit.go
@@ -72,6 +72,10 @@
 			invariant.Check(r.state == stateCalling, "a request with a call in flight is calling")
 		}
 	}
+	for _, r := range b.processor.unconfirmed {
+		known := b.requests[r.id] == r && r.state.runInProgress() && r.noticeDeadline > 0
+		invariant.Check(known, "an unconfirmed run is in progress")
+	}
 	slots := 0
 	for client := range b.frontend.clients {
 		slots += len(client.requests)
--- a/cmd/frosthub/soak_test.go
+++ b/cmd/frosthub/soak_test.go
@@ -120,6 +120,7 @@
 		node.Process.GraceMS = int(soakGrace.Milliseconds())
 		node.Process.MemoryMB = soakMemoryMB
 		node.Processor.MakesCall = func(id uint64, handler string) bool { return handler != "status" && id%3 == 0 }
+		node.Processor.SecondCalls = true
 		s.nodes = append(s.nodes, node)
 		s.Cleanup(node.Close)
 		starting.Go(func() {
@@ -165,9 +166,10 @@
 	s.logObservedFaults()
 }
 
-// verifyNodes checks that no claim ran or made its call twice, that each process ended as expected, and that none has logged a violation.
+// verifyNodes checks that no claim ran or made a call twice, that each run got the replies to its own calls, that each process ended as expected,
+// and that none has logged a violation.
 func (s *soak) verifyNodes() {
-	var duplicates, processViolations, logged []string
+	var duplicates, wrongReplies, processViolations, logged []string
 	for _, node := range s.nodes {
 		handlers := node.Processor.Handlers()
 		for id, times := range node.Processor.Runs() {
@@ -175,15 +177,19 @@
 				duplicates = append(duplicates, fmt.Sprintf("%s %016x ran %d times", node.Name, id, times))
 			}
 		}
-		for id, times := range node.Upstream.CallCounts() {
-			if times > 1 && handlers[id] == "file-claim" {
-				duplicates = append(duplicates, fmt.Sprintf("%s %016x called %d times", node.Name, id, times))
+		for call, times := range node.Upstream.CallCounts() {
+			if times > 1 && handlers[call.RequestID] == "file-claim" {
+				duplicates = append(duplicates, fmt.Sprintf("%s %016x made the call %q %d times", node.Name, call.RequestID, call.Body, times))
 			}
 		}
+		for _, wrong := range node.Processor.WrongReplies() {
+			wrongReplies = append(wrongReplies, node.Name+": "+wrong)
+		}
 		processViolations = append(processViolations, node.Violations()...)
 		logged = append(logged, loggedViolations(node)...)
 	}
 	s.reportViolations("ran twice", duplicates)
+	s.reportViolations("wrong reply", wrongReplies)
 	s.reportViolations("process", processViolations)
 	s.reportViolations("log", logged)
 }
--- a/internal/fake/processor.go
+++ b/internal/fake/processor.go
@@ -14,9 +14,10 @@
 // each request, so that a test can detect duplicates. Its methods are safe for concurrent use; the fields must not change once a node
 // has connected.
 type Processor struct {
-	Cores     float64
-	Work      func(id uint64, handler string) time.Duration // duration of a run on one core
-	MakesCall func(id uint64, handler string) bool          // reports whether a run begins with an upstream call; nil: no run does
+	Cores       float64
+	Work        func(id uint64, handler string) time.Duration // duration of a run on one core
+	MakesCall   func(id uint64, handler string) bool          // reports whether a run begins with an upstream call; nil: no run does
+	SecondCalls bool                                          // a run that begins with an upstream call also ends with one
 
 	listener net.Listener
 	wake     chan struct{} // signals schedule that the runs have changed
@@ -33,6 +34,8 @@
 	handlers    map[uint64]string
 	firstStarts map[uint64]time.Time
 	effects     map[string]int // number of runs by request body; Reset keeps it
+
+	wrongReplies []string
 }
 
 // run is one run of a request.
@@ -40,6 +43,9 @@
 	id            uint64
 	body          string
 	awaitingCall  bool    // it waits for the reply to its upstream call
+	callsMade     int     // number of its upstream calls so far
+	callsLeft     int     // number of upstream calls that it makes after its work
+	callBody      string  // body of its last upstream call
 	remainingWork float64 // in seconds on one core
 	startedAt     time.Time
 }
@@ -102,6 +108,14 @@
 	return maps.Clone(p.effects)
 }
 
+// WrongReplies describes each reply that reached a run that waited for the reply to another call. Replies must repeat the body of their
+// call, as those of Upstream do.
+func (p *Processor) WrongReplies() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.wrongReplies)
+}
+
 // Handlers returns the handler of each request that was started, by request ID.
 func (p *Processor) Handlers() map[uint64]string {
 	p.mu.Lock()
@@ -143,18 +157,32 @@
 	r := &run{id: id, body: body, remainingWork: p.Work(id, handler).Seconds(), startedAt: time.Now()}
 	p.running = append(p.running, r)
 	if p.MakesCall != nil && p.MakesCall(id, handler) {
-		r.awaitingCall = true
-		p.notify(fmt.Sprintf("ask %d %016x %d\r\n%s\r\n", len(p.notices)+1, id, len(body), body))
+		p.startCall(r)
+		if p.SecondCalls {
+			r.callsLeft = 1
+		}
 	}
 	p.reschedule()
 }
 
+// startCall makes the next upstream call of a run. The caller holds the mutex.
+func (p *Processor) startCall(r *run) {
+	r.awaitingCall = true
+	r.callsMade++
+	r.callBody = fmt.Sprintf("%s, call %d of %016x", r.body, r.callsMade, r.id)
+	p.notify(fmt.Sprintf("ask %d %016x %d\r\n%s\r\n", len(p.notices)+1, r.id, len(r.callBody), r.callBody))
+}
+
 // endCall resumes a run whose upstream call has ended. The caller holds the mutex.
-func (p *Processor) endCall(id uint64) {
+func (p *Processor) endCall(id uint64, reply string) {
 	p.advance()
 	for _, r := range p.running {
-		if r.id == id {
-			r.awaitingCall = false
+		if r.id != id || !r.awaitingCall {
+			continue
+		}
+		r.awaitingCall = false
+		if reply != r.callBody {
+			p.wrongReplies = append(p.wrongReplies, fmt.Sprintf("%q reached a run that waited for %q", reply, r.callBody))
 		}
 	}
 	p.reschedule()
@@ -244,6 +272,11 @@
 		if r.remainingWork > 0 || r.awaitingCall {
 			return false
 		}
+		if r.callsLeft > 0 {
+			r.callsLeft--
+			p.startCall(r)
+			return false
+		}
 		p.complete(r, "ok", ProcessorResult(r.id, r.body))
 		return true
 	})
--- a/internal/fake/processor_protocol.go
+++ b/internal/fake/processor_protocol.go
@@ -66,7 +66,7 @@
 	case "begin":
 		p.start(id, words[2], body)
 	case "answer":
-		p.endCall(id)
+		p.endCall(id, body)
 	case "interrupt":
 		p.interrupt(id)
 	case "usage":
--- a/internal/fake/upstream.go
+++ b/internal/fake/upstream.go
@@ -25,15 +25,21 @@
 	replyOK replyFault = -1
 )
 
-// Upstream is a test double of the upstream proxy. It runs each call immediately; a random share of its replies fails. Its methods are
-// safe for concurrent use.
+// Call identifies an upstream call: the request that it is made for, and its body.
+type Call struct {
+	RequestID uint64
+	Body      string
+}
+
+// Upstream is a test double of the upstream proxy. It runs each call immediately and replies with the body of the call; a random share
+// of its replies fails. Its methods are safe for concurrent use.
 type Upstream struct {
 	listener net.Listener
 
 	mu           sync.Mutex
 	random       *rand.Rand
 	failureShare float64
-	runs         map[uint64]int // calls run, by request ID
+	runs         map[Call]int
 }
 
 // NewUpstream returns an upstream that listens on a loopback address until Close.
@@ -42,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &Upstream{listener: listener, random: rand.New(rand.NewPCG(seed, 3)), runs: map[uint64]int{}}
+	u := &Upstream{listener: listener, random: rand.New(rand.NewPCG(seed, 3)), runs: map[Call]int{}}
 	go AcceptAll(listener, u.serve)
 	return u, nil
 }
@@ -60,8 +66,8 @@
 	u.failureShare = share
 }
 
-// CallCounts returns the number of runs of each call, by request ID.
-func (u *Upstream) CallCounts() map[uint64]int {
+// CallCounts returns the number of runs of each call.
+func (u *Upstream) CallCounts() map[Call]int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return maps.Clone(u.runs)
@@ -80,10 +86,11 @@
 			continue
 		}
 		length, _ := strconv.Atoi(words[3])
-		if _, err := io.CopyN(io.Discard, reader, int64(length)+2); err != nil {
+		body := make([]byte, length+len("\r\n"))
+		if _, err := io.ReadFull(reader, body); err != nil {
 			return
 		}
-		if !u.reply(conn, words[1]) {
+		if !u.reply(conn, words[1], string(body[:length])) {
 			ResetConn(conn)
 			return
 		}
@@ -91,8 +98,8 @@
 }
 
 // reply runs a call, replies to it, and reports whether the connection stays open.
-func (u *Upstream) reply(conn net.Conn, id string) bool {
-	switch u.runCall(id) {
+func (u *Upstream) reply(conn net.Conn, id, body string) bool {
+	switch u.runCall(id, body) {
 	case replyReset:
 		return false
 	case replyMissing:
@@ -101,17 +108,17 @@
 	case replyTooLong:
 		_, _ = fmt.Fprintf(conn, "%s ok 3000000000\r\nand so on", id)
 	default:
-		_, _ = fmt.Fprintf(conn, "%s ok 2\r\nok\r\n", id)
+		_, _ = fmt.Fprintf(conn, "%s ok %d\r\n%s\r\n", id, len(body), body)
 	}
 	return true
 }
 
 // runCall counts a run of a call and draws the fault of its reply.
-func (u *Upstream) runCall(id string) replyFault {
+func (u *Upstream) runCall(id, body string) replyFault {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	number, _ := strconv.ParseUint(id, 16, 64)
-	u.runs[number]++
+	u.runs[Call{RequestID: number, Body: body}]++
 	if u.random.Float64() < u.failureShare {
 		return replyFault(u.random.IntN(int(replyFaultCount)))
 	}
