A reply that waits for the link does not outlive the restart of its run

Cause: restartRun and onCallRequest reset callReplied and left replyUnsent. Where the interrupt of a run to be restarted took effect only after its next call, and the reply to that call waited for the link, the run started again with the reply still marked as unsent. The next resynchronization sent it to the new run, which might wait for another.

Change: both drop the reply as a whole (request.clearReply).

Measured: TestRestartDropsReply failed on the code before (the stale reply was sent) and passes.

--- a/backend/processor_notices.go
+++ b/backend/processor_notices.go
@@ -82,8 +82,7 @@
 	b := l.backend
 	l.confirm(r)
 	r.runNoticeReceived = true
-	r.callReplied = false
-	r.callReply = nil
+	r.clearReply()
 	r.callBody = append(r.callBody[:0], body...)
 	r.awaitCall()
 	b.stats.CallsRequested++
--- a/backend/processor_resync_test.go
+++ b/backend/processor_resync_test.go
@@ -87,6 +87,35 @@
 	bed.expectNone("processor: answer")
 }
 
+// TestRestartDropsReply guards against a reply that reaches a run that has started again: the reply was waiting for the
+// link when the processor reported that the run was cancelled, and was sent at the next loss of the link.
+func TestRestartDropsReply(t *testing.T) {
+	t.Parallel()
+	bed := newReadyTestbed(t, nil)
+	client := bed.dialClient()
+	bed.startRun(client, 1)
+	bed.replyUnconfirmed()
+	bed.reconnectProcessor()
+	bed.passTime(runNoticeTimeout)
+	bed.expect("processor: interrupt 0000000000000001")
+	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "second call"})
+	bed.expect(`tier: invoke 0000000000000001 "second call"`)
+	bed.step([]string{"processor", "breaks"})
+	bed.expect("processor: hello 2")
+	bed.step([]string{"tier", "replies", "0000000000000001", "reply"})
+	bed.await(func() bool { return bed.backend.requests[1].replyUnsent })
+	bed.noticeCount++
+	bed.processor.write("hi warm 600000\r\ncomplete 3 0000000000000001 halted 5 0\r\n\r\n")
+	bed.expect(`processor: begin 0000000000000001 status ""`)
+	bed.awaitGauges(2) // proves that the start has arrived
+	bed.reconnectProcessor()
+	bed.serveCall("first call again")
+	bed.completeRun(1)
+	client.expect("1" + succeededLine)
+	bed.expectNone("processor: answer")
+	bed.expectNone("processor: begin")
+}
+
 // TestUnconfirmedRunFails guards against a request that is never answered because its run sends no notice: it fails once
 // its response target has passed, and its run is not started again.
 func TestUnconfirmedRunFails(t *testing.T) {
--- a/backend/processor_unconfirmed.go
+++ b/backend/processor_unconfirmed.go
@@ -117,6 +117,6 @@
 	r.restartWhenCancelled = false
 	r.startSent = false
 	r.runNoticeReceived = false
-	r.callReplied = false
+	r.clearReply()
 	l.retryStart(r, l.startCommand(r), "the run was cancelled")
 }
--- a/backend/request.go
+++ b/backend/request.go
@@ -60,6 +60,13 @@
 	followers     []*request // repeats that wait for the result of this request
 }
 
+// clearReply drops the reply to the last call, which the run no longer waits for.
+func (r *request) clearReply() {
+	r.callReply = nil
+	r.callReplied = false
+	r.replyUnsent = false
+}
+
 // requestTable holds the requests that are not answered or whose run has not ended. It is not safe for concurrent use.
 type requestTable struct {
 	requests   map[uint64]*request // by id
