Tests of lost commands share their steps; the doubles read bodies once

The doubles of the processor and the upstream read a body each in its own way (readBody), and the number of calls left to a run follows from those made. No assertion changed.

--- a/backend/processor_resync_test.go
+++ b/backend/processor_resync_test.go
@@ -31,13 +31,7 @@
 // which sends no reply twice.
 func TestReplyLost(t *testing.T) {
 	t.Parallel()
-	bed := newReadyTestbed(t, nil)
-	client := bed.dialClient()
-	bed.startRun(client, 1)
-	bed.replyUnconfirmed()
-	bed.reconnectProcessor()
-	bed.passTime(runNoticeTimeout)
-	bed.expect("processor: interrupt 0000000000000001")
+	bed, client := newInterruptedRun(t)
 	bed.step([]string{"processor", "notes", "complete", "0000000000000001", "halted", "5", "-"})
 	bed.expect(`processor: begin 0000000000000001 status ""`)
 	bed.serveCall("first call again")
@@ -51,15 +45,8 @@
 // started again, and that its request is answered.
 func TestReplyLostInterruptCrossed(t *testing.T) {
 	t.Parallel()
-	bed := newReadyTestbed(t, nil)
-	client := bed.dialClient()
-	bed.startRun(client, 1)
-	bed.replyUnconfirmed()
-	bed.reconnectProcessor()
-	bed.passTime(runNoticeTimeout)
-	bed.expect("processor: interrupt 0000000000000001")
-	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "second call"})
-	bed.expect(`tier: invoke 0000000000000001 "second call"`)
+	bed, client := newInterruptedRun(t)
+	bed.startCall(1, "second call")
 	bed.step([]string{"processor", "notes", "complete", "0000000000000001", "halted", "5", "-"})
 	client.expect("1" + failedLine)
 	bed.expectNone("processor: begin")
@@ -70,13 +57,7 @@
 // interrupted again when the link is lost once more.
 func TestConfirmedRunContinues(t *testing.T) {
 	t.Parallel()
-	bed := newReadyTestbed(t, nil)
-	client := bed.dialClient()
-	bed.startRun(client, 1)
-	bed.replyUnconfirmed()
-	bed.reconnectProcessor()
-	bed.passTime(runNoticeTimeout)
-	bed.expect("processor: interrupt 0000000000000001")
+	bed, client := newInterruptedRun(t)
 	bed.serveCall("second call")
 	bed.awaitGauges(2) // proves that the reply has arrived
 	bed.reconnectProcessor()
@@ -91,15 +72,8 @@
 // link when the processor reported that the run was cancelled, and was sent at the next loss of the link.
 func TestRestartDropsReply(t *testing.T) {
 	t.Parallel()
-	bed := newReadyTestbed(t, nil)
-	client := bed.dialClient()
-	bed.startRun(client, 1)
-	bed.replyUnconfirmed()
-	bed.reconnectProcessor()
-	bed.passTime(runNoticeTimeout)
-	bed.expect("processor: interrupt 0000000000000001")
-	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "second call"})
-	bed.expect(`tier: invoke 0000000000000001 "second call"`)
+	bed, client := newInterruptedRun(t)
+	bed.startCall(1, "second call")
 	bed.step([]string{"processor", "breaks"})
 	bed.expect("processor: hello 2")
 	bed.step([]string{"tier", "replies", "0000000000000001", "reply"})
@@ -174,8 +148,7 @@
 	bed := newReadyTestbed(t, map[string]string{"status": "fragile"})
 	client := bed.dialClient()
 	bed.startRun(client, 1)
-	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "call"})
-	bed.expect(`tier: invoke 0000000000000001 "call"`)
+	bed.startCall(1, "call")
 	bed.step([]string{"processor", "breaks"})
 	bed.expect("processor: hello 1")
 	bed.step([]string{"tier", "replies", "0000000000000001", "reply"})
@@ -209,8 +182,7 @@
 	bed := newReadyTestbed(t, nil)
 	client := bed.dialClient()
 	bed.startRun(client, 1)
-	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "call"})
-	bed.expect(`tier: invoke 0000000000000001 "call"`)
+	bed.startCall(1, "call")
 	link := &bed.backend.processor
 	bed.runInTurn(func() {
 		link.quiesceTag = math.MaxUint64 // stands for a query that the processor does not answer
@@ -230,6 +202,20 @@
 	client.expect("1" + succeededLine)
 }
 
+// newInterruptedRun returns a testbed in which the run of request 1 was interrupted in order to start again, since the reply
+// to its call may have been lost.
+func newInterruptedRun(t *testing.T) (*testbed, *testClient) {
+	t.Helper()
+	bed := newReadyTestbed(t, nil)
+	client := bed.dialClient()
+	bed.startRun(client, 1)
+	bed.replyUnconfirmed()
+	bed.reconnectProcessor()
+	bed.passTime(runNoticeTimeout)
+	bed.expect("processor: interrupt 0000000000000001")
+	return bed, client
+}
+
 // startUnconfirmed starts the run of request 1 while the processor leaves queries unanswered, so that nothing proves that
 // the start has arrived.
 func (bed *testbed) startUnconfirmed(client *testClient) {
@@ -250,8 +236,7 @@
 func (bed *testbed) serveCall(body string) {
 	bed.t.Helper()
 	const id = "0000000000000001"
-	bed.step([]string{"processor", "notes", "ask", id, body})
-	bed.expect(fmt.Sprintf("tier: invoke %s %q", id, body))
+	bed.startCall(1, body)
 	bed.step([]string{"tier", "replies", id, "reply to", body})
 	bed.expect(fmt.Sprintf("processor: answer %s %q", id, "reply to "+body))
 }
--- a/backend/testbed_await_test.go
+++ b/backend/testbed_await_test.go
@@ -120,6 +120,14 @@
 	client.expect(fmt.Sprintf("%d Status: 200 OK", slot))
 }
 
+// startCall makes the run of the request in a slot request a call, and waits until the upstream tier has received it.
+func (bed *testbed) startCall(slot uint16, body string) {
+	bed.t.Helper()
+	id := fmt.Sprintf("%016x", slot)
+	bed.step([]string{"processor", "notes", "ask", id, body})
+	bed.expect(fmt.Sprintf("tier: invoke %s %q", id, body))
+}
+
 // completeRun makes the processor report that the run of the request in a slot has succeeded.
 func (bed *testbed) completeRun(slot uint16) {
 	bed.step([]string{"processor", "notes", "complete", fmt.Sprintf("%016x", slot), "ok", "5", "done"})
--- a/backend/upstream_crossing_test.go
+++ b/backend/upstream_crossing_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"os"
@@ -39,8 +38,7 @@
 	client.expect("1" + failedLine)
 	bed.await(func() bool { return bed.backend.upstream.callsInFlight() == 0 })
 	bed.startRun(client, 2)
-	bed.step([]string{"processor", "notes", "ask", "0000000000000002", "what"})
-	bed.expect(`tier: invoke 0000000000000002 "what"`)
+	bed.startCall(2, "what")
 	bed.expectNone("tier: invoke 0000000000000001")
 	bed.step([]string{"tier", "replies", "0000000000000002", "that"})
 	bed.expect(`processor: answer 0000000000000002 "that"`)
@@ -116,8 +114,7 @@
 	bed := newReadyTestbed(t, nil)
 	client := bed.dialClient()
 	bed.startRun(client, 1)
-	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "what"})
-	bed.expect(`tier: invoke 0000000000000001 "what"`)
+	bed.startCall(1, "what")
 	release := bed.holdOwner()
 	// Stands for an abort from the client that is read before the reply.
 	bed.backend.loop.Post(func() { bed.backend.frontend.abortRequest(bed.backend.requests[1].client, 1) })
@@ -141,12 +138,10 @@
 	bed.startRun(client, 1)
 	bed.serveCall("first call")
 	bed.startRun(client, 2)
-	bed.step([]string{"processor", "notes", "ask", "0000000000000002", "call"})
-	bed.expect(`tier: invoke 0000000000000002 "call"`)
+	bed.startCall(2, "call")
 	bed.step([]string{"tier", "replies", "0000000000000002", "reply"})
 	bed.expect(`processor: answer 0000000000000002 "reply"`)
-	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "second call"})
-	bed.expect(`tier: invoke 0000000000000001 "second call"`)
+	bed.startCall(1, "second call")
 	release := bed.holdOwner()
 	// On the connection of the first call, ahead of the reply to the second one.
 	bed.upstream.write("0000000000000002 ok 5\r\nreply\r\n0000000000000001 ok 4\r\nlate\r\n")
@@ -170,8 +165,7 @@
 	}
 	for slot := uint16(2); slot < 2+limit; slot++ {
 		bed.startRun(client, slot)
-		bed.step([]string{"processor", "notes", "ask", fmt.Sprintf("%016x", slot), "call"})
-		bed.expect(fmt.Sprintf(`tier: invoke %016x "call"`, slot))
+		bed.startCall(slot, "call")
 	}
 	bed.step([]string{"processor", "notes", "ask", "0000000000000001", "late call"})
 	bed.await(func() bool { return bed.backend.requests[1].state == stateCalling })
--- a/internal/fake/processor.go
+++ b/internal/fake/processor.go
@@ -44,7 +44,6 @@
 	body          string
 	awaitingCall  bool    // it waits for the reply to its upstream call
 	callsMade     int     // number of its upstream calls so far
-	callsLeft     int     // number of upstream calls that it makes after its work
 	callBody      string  // body of its last upstream call
 	remainingWork float64 // in seconds on one core
 	startedAt     time.Time
@@ -158,9 +157,6 @@
 	p.running = append(p.running, r)
 	if p.MakesCall != nil && p.MakesCall(id, handler) {
 		p.startCall(r)
-		if p.SecondCalls {
-			r.callsLeft = 1
-		}
 	}
 	p.reschedule()
 }
@@ -272,8 +268,7 @@
 		if r.remainingWork > 0 || r.awaitingCall {
 			return false
 		}
-		if r.callsLeft > 0 {
-			r.callsLeft--
+		if p.SecondCalls && r.callsMade == 1 {
 			p.startCall(r)
 			return false
 		}
--- a/internal/fake/processor_protocol.go
+++ b/internal/fake/processor_protocol.go
@@ -39,12 +39,9 @@
 		words := strings.Fields(line)
 		body := ""
 		if len(words) > 1 && (words[0] == "begin" || words[0] == "answer") {
-			length, _ := strconv.Atoi(words[len(words)-1])
-			buf := make([]byte, length+2)
-			if _, err := io.ReadFull(reader, buf); err != nil {
+			if body, err = readBody(reader, words[len(words)-1]); err != nil {
 				return
 			}
-			body = string(buf[:length])
 		}
 		p.mu.Lock()
 		if p.conn == conn {
@@ -54,6 +51,19 @@
 	}
 }
 
+// readBody reads the body that follows a line, and the end of line after it. The length is the last word of the line.
+func readBody(reader io.Reader, length string) (string, error) {
+	size, err := strconv.Atoi(length)
+	if err != nil {
+		return "", err
+	}
+	buf := make([]byte, size+len("\r\n"))
+	if _, err := io.ReadFull(reader, buf); err != nil {
+		return "", err
+	}
+	return string(buf[:size]), nil
+}
+
 // execute executes one command, split into its words. The caller holds the mutex.
 func (p *Processor) execute(words []string, body string) {
 	id := uint64(0)
--- a/internal/fake/upstream.go
+++ b/internal/fake/upstream.go
@@ -85,12 +85,11 @@
 		if len(words) != 4 || words[0] != "invoke" {
 			continue
 		}
-		length, _ := strconv.Atoi(words[3])
-		body := make([]byte, length+len("\r\n"))
-		if _, err := io.ReadFull(reader, body); err != nil {
+		body, err := readBody(reader, words[3])
+		if err != nil {
 			return
 		}
-		if !u.reply(conn, words[1], string(body[:length])) {
+		if !u.reply(conn, words[1], body) {
 			ResetConn(conn)
 			return
 		}
