One piece of code for what the retries of commands wrote twice

- runsInProgress is the loop that resync, sendUnsent and onNoticesLost each had; failRun ends a run of unknown outcome for two of them.
- mayRetryStart and checkStartRetry replace a condition that stood twice and a Command that was passed on; logRetry had one caller left.
- sendInterrupt checks that the hello was received; its callers did.
- A reply is copied only while it waits for the link.
It was kept until the next notice, though it is never sent again.
- dequeue takes a filter; dequeueFor was its copy.
- overload.Handler.TimeLimits applies the defaults of client timeout and response target for the controller and the backend.

Behaviour is meant to be the same.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -131,14 +131,14 @@
 
 // newHandler returns the configuration of a handler with the given settings of the overload controller.
 func newHandler(settings *overload.Handler) handler {
-	clientTimeout := settings.ClientTimeout.Or(overload.DefaultClientTimeout)
+	clientTimeout, responseTarget := settings.TimeLimits()
 	return handler{
 		name:           settings.Name,
 		replayable:     settings.Idempotency == overload.Replayable,
 		deduplicated:   settings.Idempotency == overload.Deduplicated,
 		repeatWindow:   settings.Window,
 		clientTimeout:  clientTimeout,
-		responseTarget: min(settings.ResponseTarget.Or(clientTimeout), clientTimeout),
+		responseTarget: responseTarget,
 		weight:         settings.Value.Or(0),
 	}
 }
--- a/backend/processor_commands.go
+++ b/backend/processor_commands.go
@@ -42,34 +42,30 @@
 // resynchronization sends the interrupt.
 func (l *processorLink) cancel(r *request) {
 	r.cancelRequested = true
-	if l.helloReceived {
-		l.sendInterrupt(r)
-	}
+	l.sendInterrupt(r)
 }
 
-// sendInterrupt sends an interrupt for the run of r, unless the settings rule interrupts out.
+// sendInterrupt sends an interrupt for the run of r, unless the settings rule interrupts out or the processor's hello was
+// not received yet.
 func (l *processorLink) sendInterrupt(r *request) {
-	if !l.backend.canCancel {
+	if !l.backend.canCancel || !l.helloReceived {
 		return
 	}
 	l.backend.scratch = processor.AppendInterrupt(l.backend.scratch[:0], r.wireID)
 	l.write(l.backend.scratch)
 }
 
-// replyToCall sends the run of r the reply to its call. The reply is kept until the next notice about the run.
+// replyToCall sends the run of r the reply to its call. If the link isn't ready, the reply is kept, and sendUnsentCommand
+// sends it later.
 func (l *processorLink) replyToCall(r *request, body []byte) {
-	r.callReply = append(r.callReply[:0], body...)
 	r.callReplied = true
-	l.sendCallReply(r)
-}
-
-// sendCallReply sends the reply that is kept for r. If the link isn't ready, the resynchronization sends it later.
-func (l *processorLink) sendCallReply(r *request) {
 	r.replyUnsent = !l.ready()
 	if r.replyUnsent {
+		r.callReply = append(r.callReply[:0], body...)
 		return
 	}
+	r.callReply = nil
 	r.tagBeforeCommand = l.lastTag
-	l.backend.scratch = processor.AppendCallReply(l.backend.scratch[:0], r.wireID, r.callReply)
+	l.backend.scratch = processor.AppendCallReply(l.backend.scratch[:0], r.wireID, body)
 	l.write(l.backend.scratch)
 }
--- a/backend/processor_resync.go
+++ b/backend/processor_resync.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 
@@ -15,26 +16,34 @@
 	return slices.SortedFunc(maps.Values(b.requests), func(x, y *request) int { return cmp.Compare(x.id, y.id) })
 }
 
+// runsInProgress returns the requests whose runs are in progress, ordered by id. It checks each when it is reached, since
+// handling one may start or end others.
+func (b *Backend) runsInProgress() iter.Seq[*request] {
+	return func(yield func(*request) bool) {
+		for _, r := range b.sortedRequests() {
+			if r.state.runInProgress() && !yield(r) {
+				return
+			}
+		}
+	}
+}
+
 // resync sends the commands that could not be sent before, and handles those that may have been lost with the previous
 // connection; ackedTag is the tag of the last query that was answered on it. All notices that the processor retained have
 // been received by now.
 //
-// The start of a replayable request is sent again if it may have been lost: at worst the request runs twice. No other
-// command is, since nothing proves that it was lost. See unconfirmedRuns.
+// The start of a replayable request is sent again if it may have been lost: at worst the request runs twice. Other starts
+// and replies are not, since nothing proves that they were lost. See unconfirmedRuns. Interrupts are always sent again.
 func (l *processorLink) resync(ackedTag uint64) {
-	for _, r := range l.backend.sortedRequests() {
-		if r.state.runInProgress() {
-			l.resyncRun(r, ackedTag)
-		}
+	for r := range l.backend.runsInProgress() {
+		l.resyncRun(r, ackedTag)
 	}
 }
 
 // sendUnsent sends the commands that could not be sent while the link was not ready.
 func (l *processorLink) sendUnsent() {
-	for _, r := range l.backend.sortedRequests() {
-		if r.state.runInProgress() {
-			l.sendUnsentCommand(r)
-		}
+	for r := range l.backend.runsInProgress() {
+		l.sendUnsentCommand(r)
 	}
 }
 
@@ -47,7 +56,7 @@
 	case !r.startSent:
 		l.backend.runEnded(r, overload.NeverRan, accounting.NeverRan, 0, nil)
 	case r.replyUnsent:
-		l.sendCallReply(r)
+		l.replyToCall(r, r.callReply)
 	default:
 		return false
 	}
@@ -56,13 +65,12 @@
 
 // resyncRun sends or handles the last command about one run. See resync.
 func (l *processorLink) resyncRun(r *request, ackedTag uint64) {
-	command := l.startCommand(r)
 	maybeLost := r.tagBeforeCommand >= ackedTag
 	switch {
 	case l.sendUnsentCommand(r):
 	case r.noticeDeadline > 0: // unconfirmed since an earlier connection was lost
-	case maybeLost && !r.runNoticeReceived && !r.cancelRequested && lifecycle.CheckRetry(command) == lifecycle.Allowed:
-		l.retryStart(r, command, "the request is replayable")
+	case maybeLost && !r.runNoticeReceived && l.mayRetryStart(r):
+		l.retryStart(r, "the request is replayable")
 	case maybeLost && (!r.runNoticeReceived || r.callReplied):
 		l.awaitNotice(r)
 	}
@@ -75,35 +83,40 @@
 // onNoticesLost handles the loss of notices. The outcomes of the runs stay unknown, so the runs are interrupted and fail
 // without a retry.
 func (l *processorLink) onNoticesLost() {
-	for _, r := range l.backend.sortedRequests() {
-		if r.state.runInProgress() && r.startSent {
-			l.cancel(r)
-			l.backend.runEnded(r, overload.Failed, accounting.ProcessorLost, 0, nil)
+	for r := range l.backend.runsInProgress() {
+		if r.startSent {
+			l.failRun(r)
 		}
 	}
 }
 
-// startCommand describes the start of r for lifecycle.CheckRetry.
-func (l *processorLink) startCommand(r *request) lifecycle.Command {
-	return lifecycle.Command{
+// failRun ends a request whose run has an unknown outcome, and interrupts the run in case it is in progress.
+func (l *processorLink) failRun(r *request) {
+	l.cancel(r)
+	l.backend.runEnded(r, overload.Failed, accounting.ProcessorLost, 0, nil)
+}
+
+// checkStartRetry decides whether the start of r may be sent again although it may have been carried out.
+func (l *processorLink) checkStartRetry(r *request) lifecycle.Decision {
+	return lifecycle.CheckRetry(lifecycle.Command{
 		Idempotent: l.backend.handlers[r.handler].replayable,
 		Wanted:     l.backend.hasClient(r),
-	}
+	})
+}
+
+// mayRetryStart reports whether the start of r may be sent again and the run is not to be cancelled.
+func (l *processorLink) mayRetryStart(r *request) bool {
+	return !r.cancelRequested && l.checkStartRetry(r) == lifecycle.Allowed
 }
 
-// retryStart resends a start if lifecycle.CheckRetry allows it.
-func (l *processorLink) retryStart(r *request, command lifecycle.Command, reason string) {
-	if decision := lifecycle.CheckRetry(command); decision != lifecycle.Allowed {
-		l.backend.recordViolation("retry start", r, decision)
+// retryStart resends a start if package lifecycle allows it, and counts and logs that.
+func (l *processorLink) retryStart(r *request, reason string) {
+	b := l.backend
+	if decision := l.checkStartRetry(r); decision != lifecycle.Allowed {
+		b.recordViolation("retry start", r, decision)
 		return
 	}
-	l.logRetry(r, "begin", reason)
+	b.stats.Repeated++
+	b.logLimited("processor command retried", "command", "begin", "id", r.wireID, "handler", b.handlers[r.handler].name, "reason", reason)
 	l.start(r)
 }
-
-// logRetry counts and logs a command that is resent after a connection loss.
-func (l *processorLink) logRetry(r *request, command, reason string) {
-	l.backend.stats.Repeated++
-	handler := l.backend.handlers[r.handler].name
-	l.backend.logLimited("processor command retried", "command", command, "id", r.wireID, "handler", handler, "reason", reason)
-}
--- a/backend/processor_unconfirmed.go
+++ b/backend/processor_unconfirmed.go
@@ -4,9 +4,7 @@
 	"slices"
 	"time"
 
-	"frosthub/accounting"
 	"frosthub/internal/processor"
-	"frosthub/lifecycle"
 	"frosthub/overload"
 )
 
@@ -63,10 +61,7 @@
 }
 
 // mayRestart reports whether the run of r may be cancelled in order to start again.
-func (l *processorLink) mayRestart(r *request) bool {
-	retry := lifecycle.CheckRetry(l.startCommand(r))
-	return l.backend.canCancel && !r.cancelRequested && retry == lifecycle.Allowed
-}
+func (l *processorLink) mayRestart(r *request) bool { return l.backend.canCancel && l.mayRetryStart(r) }
 
 // expireUnconfirmed cancels the unconfirmed runs that may start again, and fails those whose response target has passed.
 func (l *processorLink) expireUnconfirmed() {
@@ -89,17 +84,14 @@
 	r.restartWhenCancelled = true
 	r.noticeDeadline = l.failureTime(r)
 	l.backend.wakeBy(r.noticeDeadline)
-	if l.helloReceived {
-		l.sendInterrupt(r)
-	}
+	l.sendInterrupt(r)
 }
 
 // failUnconfirmed ends a request whose run was not confirmed in time. The outcome of the run stays unknown.
 func (l *processorLink) failUnconfirmed(r *request) {
 	handler := l.backend.handlers[r.handler].name
 	l.backend.logLimited("processor command unconfirmed", "id", r.wireID, "handler", handler, "call_replied", r.callReplied)
-	l.cancel(r)
-	l.backend.runEnded(r, overload.Failed, accounting.ProcessorLost, 0, nil)
+	l.failRun(r)
 }
 
 // onComplete handles the notice that a run has ended.
@@ -118,5 +110,5 @@
 	r.startSent = false
 	r.runNoticeReceived = false
 	r.clearReply()
-	l.retryStart(r, l.startCommand(r), "the run was cancelled")
+	l.retryStart(r, "the run was cancelled")
 }
--- a/backend/request.go
+++ b/backend/request.go
@@ -35,9 +35,9 @@
 
 	// Upstream call of the run.
 	callBody           []byte        // body of the call that the run requested
-	callReply          []byte        // reply to the call, kept until the next notice about the run
-	callReplied        bool          // callReply is valid
-	replyUnsent        bool          // callReply was not sent yet, because the link was not ready
+	callReplied        bool          // the call was answered, and the run was sent the reply or will be
+	replyUnsent        bool          // the reply was not sent yet, because the link was not ready
+	callReply          []byte        // the reply while it is unsent
 	call               *upstreamCall // call in flight; nil for none
 	callConns          []*proxyConn  // connections that carried its calls, see proxyConn.mayCarry
 	callFailed         bool          // the last call failed
--- a/backend/upstream_proxy.go
+++ b/backend/upstream_proxy.go
@@ -153,7 +153,7 @@
 	u.address = address
 	u.maxIdle = proxyMaxIdle
 	for address == "" && len(u.queue) > 0 {
-		if call := u.dequeue(); call != nil {
+		if call := u.dequeue(anyRequest); call != nil {
 			u.endCall(call, overload.NoConnection)
 		}
 	}
--- a/backend/upstream_proxy_conn.go
+++ b/backend/upstream_proxy_conn.go
@@ -83,38 +83,29 @@
 func (u *proxyUpstream) dialFailed(err error) {
 	u.backend.logLimited("upstream unreachable", "reason", err)
 	if !errors.Is(err, conn.ErrDialTimeout) {
-		if call := u.dequeue(); call != nil {
+		if call := u.dequeue(anyRequest); call != nil {
 			u.endCall(call, overload.NoConnection)
 		}
 	}
 	u.dialMore()
 }
 
-// dequeue removes and returns the first call of the queue that has not ended, or nil if there is none.
-func (u *proxyUpstream) dequeue() *upstreamCall {
-	for len(u.queue) > 0 {
-		first := u.queue[0]
-		u.queue = u.queue[1:]
-		if first.request.call == first {
-			return first
-		}
-	}
-	return nil
-}
-
-// dequeueFor removes and returns the first call of the queue that has not ended and that the connection may carry, or nil
-// if there is none.
-func (u *proxyUpstream) dequeueFor(connection *proxyConn) *upstreamCall {
+// dequeue removes and returns the first call of the queue that has not ended and whose request suits, or nil if there is
+// none.
+func (u *proxyUpstream) dequeue(suits func(*request) bool) *upstreamCall {
 	u.queue = slices.DeleteFunc(u.queue, func(call *upstreamCall) bool { return call.request.call != call })
-	for i, call := range u.queue {
-		if connection.mayCarry(call.request) {
-			u.queue = slices.Delete(u.queue, i, i+1)
-			return call
-		}
+	i := slices.IndexFunc(u.queue, func(call *upstreamCall) bool { return suits(call.request) })
+	if i < 0 {
+		return nil
 	}
-	return nil
+	call := u.queue[i]
+	u.queue = slices.Delete(u.queue, i, i+1)
+	return call
 }
 
+// anyRequest makes dequeue return the first call that has not ended.
+func anyRequest(*request) bool { return true }
+
 // replace closes a connection without calls that may carry no call of the queue, and dials another one.
 func (u *proxyUpstream) replace(connection *proxyConn) {
 	u.close(connection)
@@ -128,7 +119,7 @@
 		u.close(connection)
 		return
 	}
-	if call := u.dequeueFor(connection); call != nil {
+	if call := u.dequeue(connection.mayCarry); call != nil {
 		u.send(connection, call)
 		return
 	}
--- a/overload/handler.go
+++ b/overload/handler.go
@@ -35,8 +35,7 @@
 }
 
 func newHandler(s *Handler, tier float64) *handler {
-	clientTimeout := s.ClientTimeout.Or(DefaultClientTimeout)
-	target := min(s.ResponseTarget.Or(clientTimeout), clientTimeout)
+	clientTimeout, target := s.TimeLimits()
 	// A server of the tier above needs part of the time for its own work and its other calls, so an answer that a
 	// lower tier sends just before the target is late for the client.
 	target = time.Duration(float64(target) / (1 + math.Max(0, tier)))
--- a/overload/settings.go
+++ b/overload/settings.go
@@ -115,6 +115,12 @@
 	Window time.Duration
 }
 
+// TimeLimits returns the client timeout and the response target with their defaults applied.
+func (h *Handler) TimeLimits() (clientTimeout, responseTarget time.Duration) {
+	clientTimeout = h.ClientTimeout.Or(DefaultClientTimeout)
+	return clientTimeout, min(h.ResponseTarget.Or(clientTimeout), clientTimeout)
+}
+
 // Customer describes one of the parties whose requests share the servers.
 type Customer struct {
 	// Name identifies the customer in requests. The controller only uses the index.
